Start the query tier: bundles, placement, gates, relay and search

Cause: the tier needs one thin path from a caller through an owner to a target before its parts are deepened. Change: signed bundles, a store that never goes back, rendezvous owners, slot gates, the peer protocol, scatter and gather with coverage, the kernel with its plug-ins, and stand-ins for targets and the platform.

--- /dev/null
+++ b/bundle/sign.go
@@ -0,0 +1,115 @@
+package bundle
+
+import (
+	"crypto/ed25519"
+	"encoding/json"
+	"errors"
+	"fmt"
+)
+
+// Signed is a bundle with its signatures, as the platform publishes it and peers relay it.
+type Signed struct {
+	// Payload is the canonical encoding of the bundle.
+	Payload    json.RawMessage `json:"payload"`
+	Signatures []Signature     `json:"signatures"`
+}
+
+// Signature is one named signer's Ed25519 signature of the payload.
+type Signature struct {
+	Signer    string `json:"signer"`
+	Signature []byte `json:"signature"`
+}
+
+// Verified is a bundle whose signatures were checked. It is immutable.
+type Verified struct {
+	Bundle  *Bundle
+	Digest  Digest
+	Signers []string
+	// Raw is the signed encoding, for relaying.
+	Raw []byte
+}
+
+// Errors of verification.
+var (
+	ErrTooLarge      = errors.New("bundle is larger than 1 MB")
+	ErrUnsigned      = errors.New("bundle has too few valid signatures")
+	ErrBadSignature  = errors.New("bundle signature does not match its payload")
+	ErrUnknownSigner = errors.New("bundle is signed by a name that is not in the keyring")
+	ErrKeyring       = errors.New("bundle keyring chain is not valid")
+)
+
+// signatureContext separates bundle signatures from any other use of the same key.
+const signatureContext = "teaselbank bundle v1\n"
+
+func signedMessage(payload []byte) []byte {
+	return append([]byte(signatureContext), payload...)
+}
+
+// Sign adds or replaces the signer's signature.
+func (s *Signed) Sign(signer string, key ed25519.PrivateKey) {
+	sig := Signature{Signer: signer, Signature: ed25519.Sign(key, signedMessage(s.Payload))}
+	for i := range s.Signatures {
+		if s.Signatures[i].Signer == signer {
+			s.Signatures[i] = sig
+			return
+		}
+	}
+	s.Signatures = append(s.Signatures, sig)
+}
+
+// NewSigned wraps a bundle in its canonical encoding, without signatures.
+func NewSigned(b *Bundle) (*Signed, error) {
+	payload, err := b.Canonical()
+	if err != nil {
+		return nil, err
+	}
+	return &Signed{Payload: payload}, nil
+}
+
+// Encode returns the form that is published and relayed.
+func (s *Signed) Encode() ([]byte, error) {
+	data, err := json.Marshal(s)
+	if err != nil {
+		return nil, fmt.Errorf("encode signed bundle: %w", err)
+	}
+	return data, nil
+}
+
+// DecodeSigned parses the published form without checking signatures.
+func DecodeSigned(raw []byte) (*Signed, error) {
+	if len(raw) > MaxBytes {
+		return nil, fmt.Errorf("%w: %d bytes", ErrTooLarge, len(raw))
+	}
+	s, err := decodeStrict[Signed](raw)
+	if err != nil {
+		return nil, fmt.Errorf("decode signed bundle: %w", err)
+	}
+	return s, nil
+}
+
+// Verify checks size, encoding, content and signatures against the root keyring.
+func Verify(raw []byte, root Keyring) (*Verified, error) {
+	s, err := DecodeSigned(raw)
+	if err != nil {
+		return nil, err
+	}
+	b, err := DecodeCanonical(s.Payload)
+	if err != nil {
+		return nil, err
+	}
+	if faults := b.Validate(); len(faults) > 0 {
+		return nil, &InvalidError{Faults: faults}
+	}
+	ring, err := root.Follow(b.Rotations)
+	if err != nil {
+		return nil, err
+	}
+	signers, err := ring.check(signedMessage(s.Payload), s.Signatures)
+	if err != nil {
+		return nil, err
+	}
+	if len(signers) < b.Policy.RequiredSigners {
+		return nil, fmt.Errorf("%w: policy asks for %d signers, %d signed", ErrUnsigned, b.Policy.RequiredSigners, len(signers))
+	}
+	return &Verified{Bundle: b, Digest: DigestOf(s.Payload), Signers: signers, Raw: raw}, nil
+}
--- /dev/null
+++ b/bundle/validate.go
@@ -0,0 +1,127 @@
+package bundle
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+
+	"teaselbank.example/teaselbank/ident"
+)
+
+// Bounds of bundle fields.
+const (
+	maxSlots              = 1024
+	maxConnections        = 100_000
+	maxReturnSeconds      = 3600
+	maxExtraLoadPercent   = 50
+	maxDeadlineMillis     = 60_000
+	maxConnectMillis      = 10_000
+	minDistinctNameLength = 1
+)
+
+// InvalidError lists every fault of a bundle's content.
+type InvalidError struct{ Faults []string }
+
+// Error joins the faults.
+func (e *InvalidError) Error() string { return "bundle is not valid: " + strings.Join(e.Faults, "; ") }
+
+// Validate returns every fault of the bundle's content, or nil.
+func (b *Bundle) Validate() []string {
+	v := &validation{}
+	v.checkHead(b)
+	v.checkZones(b)
+	v.checkPolicy(&b.Policy)
+	seen := map[ident.ServiceID]bool{}
+	for i := range b.Services {
+		s := &b.Services[i]
+		v.check(s.ID != "" && !seen[s.ID], "services[%d].id: %q is empty or named twice", i, s.ID)
+		seen[s.ID] = true
+		v.checkService(b, s)
+	}
+	return v.faults
+}
+
+type validation struct{ faults []string }
+
+func (v *validation) check(ok bool, format string, args ...any) {
+	if !ok {
+		v.faults = append(v.faults, fmt.Sprintf(format, args...))
+	}
+}
+
+func (v *validation) inRange(field string, value, low, high int) {
+	v.check(value >= low && value <= high, "%s: %d is not in %d..%d", field, value, low, high)
+}
+
+func (v *validation) checkHead(b *Bundle) {
+	v.check(b.Version > 0, "version: must be at least 1")
+	v.check(len(b.Name) >= minDistinctNameLength, "name: must not be empty")
+	v.check(b.Author != "", "author: must not be empty")
+	v.check(b.Reviewer != "", "reviewer: must not be empty")
+	v.check(b.Author != b.Reviewer || b.Author == "", "reviewer: must not be the author %q", b.Author)
+}
+
+func (v *validation) checkZones(b *Bundle) {
+	v.check(len(b.Zones) > 0, "zones: must name at least one availability zone")
+	seen := map[ident.Zone]bool{}
+	for i, z := range b.Zones {
+		v.check(z.ID != "" && !seen[z.ID], "zones[%d].id: %q is empty or named twice", i, z.ID)
+		seen[z.ID] = true
+		v.check(z.State == ZoneIn || z.State == ZoneOut, "zones[%d].state: %q is neither in nor out", i, z.State)
+		v.inRange(fmt.Sprintf("zones[%d].return_seconds", i), z.ReturnSeconds, 0, maxReturnSeconds)
+	}
+}
+
+func (v *validation) checkPolicy(p *Policy) {
+	v.inRange("policy.required_signers", p.RequiredSigners, 1, 16)
+	v.inRange("policy.extra_load_percent", p.ExtraLoadPercent, 0, maxExtraLoadPercent)
+	v.inRange("policy.max_deadline_millis", p.MaxDeadlineMillis, 1, maxDeadlineMillis)
+	v.inRange("policy.default_deadline_millis", p.DefaultDeadlineMillis, 1, maxDeadlineMillis)
+	v.check(p.DefaultDeadlineMillis <= p.MaxDeadlineMillis,
+		"policy.default_deadline_millis: %d exceeds max_deadline_millis %d", p.DefaultDeadlineMillis, p.MaxDeadlineMillis)
+}
+
+func (v *validation) checkService(b *Bundle, s *Service) {
+	at := "services." + string(s.ID)
+	v.inRange(at+".slots", s.Slots, 1, maxSlots)
+	v.inRange(at+".cold_slots", s.ColdSlots, 1, max(1, s.Slots))
+	v.inRange(at+".connections", s.Connections, 1, maxConnections)
+	v.inRange(at+".connect_millis", s.ConnectMillis, 0, maxConnectMillis)
+	targets := v.checkTargets(b, s, at)
+	v.check(len(s.Snapshots) > 0, "%s.snapshots: must name at least one", at)
+	seen := map[ident.SnapshotID]bool{}
+	for _, snap := range s.Snapshots {
+		v.check(snap.ID != "" && !seen[snap.ID], "%s.snapshots: id %q is empty or named twice", at, snap.ID)
+		seen[snap.ID] = true
+		v.checkShards(at+".snapshots."+string(snap.ID), snap.Shards, targets)
+	}
+}
+
+func (v *validation) checkTargets(b *Bundle, s *Service, at string) map[ident.TargetID]bool {
+	targets := map[ident.TargetID]bool{}
+	for i, t := range s.Targets {
+		field := fmt.Sprintf("%s.targets[%d]", at, i)
+		v.check(t.ID != "" && !targets[t.ID], "%s.id: %q is empty or named twice", field, t.ID)
+		targets[t.ID] = true
+		v.check(b.ZoneByID(t.Zone) != nil, "%s.zone: %q is not among zones", field, t.Zone)
+		_, err := netip.ParseAddrPort(t.Address)
+		v.check(err == nil, "%s.address: %q is not an IP address and port", field, t.Address)
+		v.check(t.State == TargetServing || t.State == TargetLeaving, "%s.state: %q is neither serving nor leaving", field, t.State)
+	}
+	return targets
+}
+
+func (v *validation) checkShards(at string, shards []Shard, targets map[ident.TargetID]bool) {
+	v.check(len(shards) > 0, "%s.shards: must name at least one", at)
+	seen := map[ident.ShardID]bool{}
+	for _, shard := range shards {
+		v.check(shard.ID != "" && !seen[shard.ID], "%s.shards: id %q is empty or named twice", at, shard.ID)
+		seen[shard.ID] = true
+		v.check(len(shard.Replicas) > 0, "%s.shards.%s.replicas: must name at least one target", at, shard.ID)
+		replicas := map[ident.TargetID]bool{}
+		for _, r := range shard.Replicas {
+			v.check(targets[r] && !replicas[r], "%s.shards.%s.replicas: %q is unknown or named twice", at, shard.ID, r)
+			replicas[r] = true
+		}
+	}
+}
--- /dev/null
+++ b/kernel/kernel.go
@@ -0,0 +1,60 @@
+// Package kernel assembles the daemon from plug-ins. Plug-ins register themselves from init; the kernel starts them
+// in one ordered list and stops them in reverse.
+package kernel
+
+import (
+	"fmt"
+	"slices"
+
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"teaselbank.example/teaselbank/settings"
+)
+
+// Plugin is one part of the daemon.
+type Plugin struct {
+	// Name is the plug-in's place in the ordered list.
+	Name string
+	// Options provides the plug-in's parts and hooks.
+	Options func() fx.Option
+}
+
+var registry = map[string]Plugin{}
+
+// Register adds a plug-in; it is called from init functions. A name that is unknown or taken is a fault of the
+// build, so it stops the process.
+func Register(p Plugin) {
+	if !slices.Contains(order, p.Name) {
+		panic(fmt.Sprintf("kernel: plug-in %q is not in the ordered list", p.Name))
+	}
+	if _, taken := registry[p.Name]; taken {
+		panic(fmt.Sprintf("kernel: plug-in %q is registered twice", p.Name))
+	}
+	registry[p.Name] = p
+}
+
+// Names returns the registered plug-ins in order.
+func Names() []string {
+	var names []string
+	for _, name := range order {
+		if _, ok := registry[name]; ok {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// New assembles the daemon. Nothing is opened before Start.
+func New(s *settings.Settings, extra ...fx.Option) *fx.App {
+	options := []fx.Option{
+		fx.Supply(s),
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.StartTimeout(s.StartTimeout),
+		fx.StopTimeout(s.DrainTimeout + s.BalancerDelay + stopMargin),
+	}
+	for _, name := range Names() {
+		options = append(options, fx.Module(name, registry[name].Options()))
+	}
+	return fx.New(append(options, extra...)...)
+}
--- /dev/null
+++ b/placement/placement.go
@@ -0,0 +1,104 @@
+// Package placement assigns owners to targets by rendezvous hashing. The assignment is a pure function of the
+// membership view and the bundle, so VMs with the same view agree without exchanging a message.
+package placement
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"teaselbank.example/teaselbank/bundle"
+	"teaselbank.example/teaselbank/ident"
+	"teaselbank.example/teaselbank/membership"
+)
+
+// Owner is a VM that holds a share of a target's slots and connections.
+type Owner struct {
+	VM          ident.VMID
+	Slots       int
+	ColdSlots   int
+	Connections int
+}
+
+// Target is a target with its owners, ranked.
+type Target struct {
+	bundle.Target
+	Service ident.ServiceID
+	Owners  []Owner
+}
+
+// Plan is an immutable assignment of owners to targets.
+type Plan struct {
+	// ConfigVersion and Generation name the inputs the plan was made from.
+	ConfigVersion uint64
+	Generation    uint64
+	targets       map[ident.TargetID]*Target
+}
+
+// Target returns the target of that id.
+func (p *Plan) Target(id ident.TargetID) (*Target, bool) {
+	t, ok := p.targets[id]
+	return t, ok
+}
+
+// Targets calls f for every target, in no order.
+func (p *Plan) Targets(f func(*Target)) {
+	for _, t := range p.targets {
+		f(t)
+	}
+}
+
+// OwnedBy returns the share the VM holds of the target.
+func (t *Target) OwnedBy(vm ident.VMID) (Owner, bool) {
+	for _, o := range t.Owners {
+		if o.VM == vm {
+			return o, true
+		}
+	}
+	return Owner{}, false
+}
+
+// NewPlan assigns owners to every target of the bundle.
+func NewPlan(view *membership.View, b *bundle.Bundle) *Plan {
+	p := &Plan{ConfigVersion: b.Version, Generation: view.Generation, targets: map[ident.TargetID]*Target{}}
+	for i := range b.Services {
+		s := &b.Services[i]
+		for _, t := range s.Targets {
+			p.targets[t.ID] = &Target{Target: t, Service: s.ID, Owners: owners(view, s, t)}
+		}
+	}
+	return p
+}
+
+func owners(view *membership.View, s *bundle.Service, t bundle.Target) []Owner {
+	candidates := view.UsableIn(t.Zone)
+	if len(candidates) == 0 {
+		candidates = view.UsableIn("")
+	}
+	ranked := Rank(string(t.ID), candidates)
+	if len(ranked) == 0 {
+		return nil
+	}
+	return []Owner{{VM: ranked[0].ID, Slots: s.Slots, ColdSlots: s.ColdSlots, Connections: s.Connections}}
+}
+
+// Rank orders members by rendezvous hashing for a key, highest first.
+func Rank(key string, members []membership.Member) []membership.Member {
+	type scored struct {
+		member membership.Member
+		score  uint64
+	}
+	list := make([]scored, len(members))
+	for i, m := range members {
+		list[i] = scored{m, xxhash.Sum64String(key + "\x00" + string(m.ID))}
+	}
+	slices.SortFunc(list, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.member.ID, b.member.ID))
+	})
+	out := make([]membership.Member, len(list))
+	for i, s := range list {
+		out[i] = s.member
+	}
+	return out
+}
--- /dev/null
+++ b/platformclient/client.go
@@ -0,0 +1,93 @@
+// Package platformclient reads the platform's configuration service: the published bundle and the list of VMs.
+// Nothing can be written to it.
+package platformclient
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"teaselbank.example/teaselbank/bundle"
+)
+
+// Limits of a read.
+const (
+	maxVMListBytes = 1 << 20
+	readTimeout    = 3 * time.Second
+	// watchMargin is added to a watch's wait before the call is given up.
+	watchMargin = 5 * time.Second
+)
+
+// VM is one entry of the platform's list, which lags behind.
+type VM struct {
+	ID          string `json:"id"`
+	Zone        string `json:"zone"`
+	PeerAddress string `json:"peer_address"`
+	Leaving     bool   `json:"leaving"`
+}
+
+// Client reads one platform.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+// New returns a client for the platform's base URL.
+func New(base string) *Client {
+	return &Client{base: strings.TrimRight(base, "/"), http: &http.Client{}}
+}
+
+// Bundle returns the published bundle if its version is above after, waiting up to wait for one. It returns nil
+// without an error if there is none.
+func (c *Client) Bundle(ctx context.Context, after uint64, wait time.Duration) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+watchMargin)
+	defer cancel()
+	url := fmt.Sprintf("%s/v1/bundle?after=%d&wait=%d", c.base, after, int(wait.Seconds()))
+	return c.get(ctx, url, bundle.MaxBytes)
+}
+
+// VMs returns the platform's list of VMs.
+func (c *Client) VMs(ctx context.Context) ([]VM, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	data, err := c.get(ctx, c.base+"/v1/vms", maxVMListBytes)
+	if err != nil {
+		return nil, err
+	}
+	var vms []VM
+	if err := json.Unmarshal(data, &vms); err != nil {
+		return nil, fmt.Errorf("platform VM list: %w", err)
+	}
+	return vms, nil
+}
+
+func (c *Client) get(ctx context.Context, url string, limit int64) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, fmt.Errorf("platform: %w", err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("platform: %w", err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	switch resp.StatusCode {
+	case http.StatusOK:
+	case http.StatusNoContent, http.StatusNotModified:
+		return nil, nil
+	default:
+		return nil, fmt.Errorf("platform: status %d for %s", resp.StatusCode, req.URL.Path)
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	if err != nil {
+		return nil, fmt.Errorf("platform: read %s: %w", req.URL.Path, err)
+	}
+	if int64(len(data)) > limit {
+		return nil, fmt.Errorf("platform: %s exceeds %d bytes", req.URL.Path, limit)
+	}
+	return data, nil
+}
--- /dev/null
+++ b/plugin/all/all.go
@@ -0,0 +1,17 @@
+// Package all links every plug-in of the daemon, so that each registers itself.
+package all
+
+import (
+	// Each import registers one plug-in.
+	_ "teaselbank.example/teaselbank/plugin/callerapi"
+	_ "teaselbank.example/teaselbank/plugin/configuration"
+	_ "teaselbank.example/teaselbank/plugin/logging"
+	_ "teaselbank.example/teaselbank/plugin/membership"
+	_ "teaselbank.example/teaselbank/plugin/metrics"
+	_ "teaselbank.example/teaselbank/plugin/opsapi"
+	_ "teaselbank.example/teaselbank/plugin/peerapi"
+	_ "teaselbank.example/teaselbank/plugin/placement"
+	_ "teaselbank.example/teaselbank/plugin/relay"
+	_ "teaselbank.example/teaselbank/plugin/search"
+	_ "teaselbank.example/teaselbank/plugin/shutdown"
+)
--- /dev/null
+++ b/plugin/logging/logging.go
@@ -0,0 +1,58 @@
+// Package logging is the plug-in that provides the event log and the decision log.
+package logging
+
+import (
+	"context"
+	"os"
+	"sync"
+
+	"github.com/charmbracelet/log"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/fx"
+
+	"teaselbank.example/teaselbank/decisionlog"
+	"teaselbank.example/teaselbank/kernel"
+	"teaselbank.example/teaselbank/search"
+	"teaselbank.example/teaselbank/settings"
+)
+
+// decisionCapacity is how many decision records may wait for the writer.
+const decisionCapacity = 16384
+
+func init() {
+	kernel.Register(kernel.Plugin{Name: "logging", Options: func() fx.Option {
+		return fx.Options(
+			fx.Provide(newLogger, newDecisionLog, clockwork.NewRealClock),
+			fx.Provide(func(l *decisionlog.Log) search.Decisions { return l }),
+		)
+	}})
+}
+
+func newLogger(s *settings.Settings) (*log.Logger, error) {
+	level, err := log.ParseLevel(s.LogLevel)
+	if err != nil {
+		return nil, err
+	}
+	logger := log.NewWithOptions(os.Stderr, log.Options{
+		Formatter: log.LogfmtFormatter, ReportTimestamp: true, Level: level, TimeFormat: "2006-01-02T15:04:05.000Z07:00",
+	})
+	return logger.With("vm", s.VMID, "zone", s.Zone), nil
+}
+
+func newDecisionLog(lc fx.Lifecycle, logger *log.Logger) *decisionlog.Log {
+	l := decisionlog.New(logger.With("component", "decision"), decisionCapacity)
+	ctx, cancel := context.WithCancel(context.Background())
+	var writer sync.WaitGroup
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			writer.Go(func() { l.Run(ctx) })
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			cancel()
+			writer.Wait()
+			return nil
+		},
+	})
+	return l
+}
--- /dev/null
+++ b/plugin/peerapi/peerapi.go
@@ -0,0 +1,68 @@
+// Package peerapi is the plug-in that listens for other VMs and serves the peer handlers of the other plug-ins.
+package peerapi
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"go.uber.org/fx"
+
+	"teaselbank.example/teaselbank/kernel"
+	"teaselbank.example/teaselbank/settings"
+)
+
+// Group is the fx result tag of peer handlers.
+const Group = `group:"peer_handlers"`
+
+// Handler is one service of the peer protocol.
+type Handler struct {
+	Path    string
+	Handler http.Handler
+}
+
+// Limits of the listener.
+const (
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 2 * time.Minute
+	// maxStreams bounds the concurrent calls of one peer.
+	maxStreams = 4096
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{Name: "peerapi", Options: func() fx.Option {
+		return fx.Invoke(fx.Annotate(serve, fx.ParamTags("", "", "", Group)))
+	}})
+}
+
+func serve(lc fx.Lifecycle, s *settings.Settings, logger *log.Logger, handlers []Handler) {
+	mux := http.NewServeMux()
+	for _, h := range handlers {
+		mux.Handle(h.Path, h.Handler)
+	}
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	server := &http.Server{Handler: mux, Protocols: protocols, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		HTTP2: &http.HTTP2Config{MaxConcurrentStreams: maxStreams}}
+	Listen(lc, server, s.PeerListen, "peer", logger)
+}
+
+// Listen adds hooks that open the listener at start and shut the server down gracefully at stop.
+func Listen(lc fx.Lifecycle, server *http.Server, address, name string, logger *log.Logger) {
+	lc.Append(fx.Hook{
+		OnStart: func(ctx context.Context) error {
+			l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+			if err != nil {
+				return fmt.Errorf("%s listener: %w", name, err)
+			}
+			logger.Info("listening", "api", name, "address", l.Addr())
+			go func() { _ = server.Serve(l) }()
+			return nil
+		},
+		OnStop: func(ctx context.Context) error { return server.Shutdown(ctx) },
+	})
+}
--- /dev/null
+++ b/plugin/relay/relay.go
@@ -0,0 +1,34 @@
+// Package relay is the plug-in that routes leaf requests to owners and answers other VMs' relay calls.
+package relay
+
+import (
+	"go.uber.org/fx"
+
+	"teaselbank.example/teaselbank/gen/teaselbank/peer/v1/peerv1connect"
+	"teaselbank.example/teaselbank/ident"
+	"teaselbank.example/teaselbank/kernel"
+	"teaselbank.example/teaselbank/membership"
+	"teaselbank.example/teaselbank/plugin/peerapi"
+	"teaselbank.example/teaselbank/relay"
+	"teaselbank.example/teaselbank/search"
+	"teaselbank.example/teaselbank/settings"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{Name: "relay", Options: func() fx.Option {
+		return fx.Options(
+			fx.Provide(relay.NewPeerHTTPClient, relay.NewPeers, newRouter, relay.NewServer),
+			fx.Provide(func(r *relay.Router) search.LeafSender { return r }),
+			fx.Provide(fx.Annotate(newHandler, fx.ResultTags(peerapi.Group))),
+		)
+	}})
+}
+
+func newRouter(s *settings.Settings, p relay.Planner, v membership.Viewer, l relay.Local, peers *relay.Peers) *relay.Router {
+	return relay.NewRouter(ident.VMID(s.VMID), p, v, l, peers)
+}
+
+func newHandler(s *relay.Server) peerapi.Handler {
+	path, h := peerv1connect.NewRelayServiceHandler(s)
+	return peerapi.Handler{Path: path, Handler: h}
+}
--- /dev/null
+++ b/settings/check.go
@@ -0,0 +1,120 @@
+package settings
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Bounds of durations.
+const (
+	maxBalancerDelay = time.Minute
+	minDrainTimeout  = 100 * time.Millisecond
+	maxDrainTimeout  = 10 * time.Minute
+	minStartTimeout  = time.Second
+	maxStartTimeout  = 5 * time.Minute
+	maxPeerGrace     = 5 * time.Minute
+)
+
+// Fault is one setting with a value that is not allowed.
+type Fault struct {
+	Flag    string
+	Value   string
+	Allowed string
+}
+
+// String names the flag, the value and what is allowed.
+func (f Fault) String() string {
+	return fmt.Sprintf("--%s: %q is not allowed; allowed: %s", f.Flag, f.Value, f.Allowed)
+}
+
+// FaultsError holds every fault of one run.
+type FaultsError struct{ Faults []Fault }
+
+// Error lists one fault a line.
+func (e *FaultsError) Error() string {
+	lines := make([]string, len(e.Faults))
+	for i, f := range e.Faults {
+		lines[i] = f.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,62}[a-z0-9])?$`)
+
+const nameAllowed = "1 to 64 of a-z, 0-9, '.' and '-', with a letter or digit at both ends"
+
+type checker struct{ faults []Fault }
+
+func (c *checker) check(ok bool, flag, value, allowed string) {
+	if !ok {
+		c.faults = append(c.faults, Fault{flag, value, allowed})
+	}
+}
+
+func (s *Settings) check(rest []string) []Fault {
+	c := &checker{}
+	c.check(len(rest) == 0, "", strings.Join(rest, " "), "no arguments besides flags")
+	c.check(namePattern.MatchString(s.VMID), "vm-id", s.VMID, nameAllowed)
+	c.check(namePattern.MatchString(s.Zone), "zone", s.Zone, nameAllowed)
+	c.addresses(s)
+	c.platform(s.PlatformURL)
+	c.keyring(s)
+	levels := []string{"debug", "info", "warn", "error"}
+	c.check(slices.Contains(levels, s.LogLevel), "log-level", s.LogLevel, strings.Join(levels, ", "))
+	c.duration("balancer-delay", s.BalancerDelay, 0, maxBalancerDelay)
+	c.duration("drain-timeout", s.DrainTimeout, minDrainTimeout, maxDrainTimeout)
+	c.duration("start-timeout", s.StartTimeout, minStartTimeout, maxStartTimeout)
+	c.duration("peer-grace", s.PeerGrace, 0, maxPeerGrace)
+	return c.faults
+}
+
+func (c *checker) addresses(s *Settings) {
+	const allowed = "an IP address and a port from 1 to 65535, different from the other listeners"
+	seen := map[string]bool{}
+	for _, l := range []struct{ flag, value string }{
+		{"caller-listen", s.CallerListen}, {"peer-listen", s.PeerListen}, {"ops-listen", s.OpsListen},
+	} {
+		a, err := netip.ParseAddrPort(l.value)
+		c.check(err == nil && a.Port() != 0 && !seen[l.value], l.flag, l.value, allowed)
+		seen[l.value] = true
+	}
+	if a, err := netip.ParseAddrPort(s.PeerListen); err == nil {
+		c.check(!a.Addr().IsUnspecified(), "peer-listen", s.PeerListen, "an address that other VMs can reach")
+	}
+}
+
+func (c *checker) platform(value string) {
+	u, err := url.Parse(value)
+	ok := err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != ""
+	c.check(ok, "platform-url", value, "an http or https URL with a host")
+}
+
+func (c *checker) keyring(s *Settings) {
+	raw := []byte(s.RootKeyring)
+	if path, isFile := strings.CutPrefix(s.RootKeyring, "@"); isFile {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			c.check(false, "root-keyring", s.RootKeyring, "a file that can be read: "+err.Error())
+			return
+		}
+		raw = data
+	}
+	if err := json.Unmarshal(raw, &s.Root); err != nil {
+		c.check(false, "root-keyring", s.RootKeyring, "a keyring as JSON, or @FILE: "+err.Error())
+		return
+	}
+	if err := s.Root.Validate(); err != nil {
+		c.check(false, "root-keyring", s.RootKeyring, err.Error())
+	}
+}
+
+func (c *checker) duration(flag string, value, low, high time.Duration) {
+	c.check(value >= low && value <= high, flag, value.String(), fmt.Sprintf("%s to %s", low, high))
+}
--- /dev/null
+++ b/standin/cmd/standin-target/main.go
@@ -0,0 +1,70 @@
+// Command standin-target runs one stand-in target.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"golang.org/x/net/netutil"
+
+	"teaselbank.example/teaselbank/standin/target"
+)
+
+type options struct {
+	ID              string        `long:"id" required:"true" description:"name of the target"`
+	Listen          string        `long:"listen" required:"true" description:"IP address and port"`
+	Snapshots       []string      `long:"snapshot" required:"true" description:"snapshot held, from oldest to newest; may be repeated"`
+	Slots           int           `long:"slots" default:"6" description:"requests that run at once"`
+	ColdSlots       int           `long:"cold-slots" default:"1" description:"requests it bears in cold start"`
+	ColdRequests    int           `long:"cold-requests" default:"0" description:"requests that warm it up"`
+	ColdFailure     time.Duration `long:"cold-failure" default:"2s" description:"time it answers nothing after an overload in cold start"`
+	Connections     int           `long:"connections" default:"50" description:"connections it accepts"`
+	ServiceTime     time.Duration `long:"service-time" default:"2ms" description:"time of one request"`
+	StragglerShare  float64       `long:"straggler-share" default:"0" description:"share of slow requests, from 0 to 1"`
+	StragglerFactor float64       `long:"straggler-factor" default:"20" description:"how many times longer they take"`
+	HealthLag       time.Duration `long:"health-lag" default:"10s" description:"delay of the health endpoint"`
+}
+
+const drainTimeout = 5 * time.Second
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		os.Exit(2)
+	}
+	if err := run(o); err != nil {
+		fmt.Fprintln(os.Stderr, "standin-target:", err)
+		os.Exit(1)
+	}
+}
+
+func run(o options) error {
+	t := target.New(target.Options{ID: o.ID, Snapshots: o.Snapshots, Slots: o.Slots, ColdSlots: o.ColdSlots,
+		ColdRequests: o.ColdRequests, ColdFailure: o.ColdFailure, ServiceTime: o.ServiceTime,
+		StragglerShare: o.StragglerShare, StragglerFactor: o.StragglerFactor, HealthLag: o.HealthLag})
+	l, err := net.Listen("tcp", o.Listen)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: t.Handler(), ReadHeaderTimeout: drainTimeout}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	go func() {
+		<-ctx.Done()
+		t.SetDraining(true)
+		ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
+		defer cancel()
+		_ = server.Shutdown(ctx)
+	}()
+	if err := server.Serve(netutil.LimitListener(l, o.Connections)); err != http.ErrServerClosed {
+		return err
+	}
+	return nil
+}
