--- a/plugin/configuration/configuration.go
+++ b/plugin/configuration/configuration.go
@@ -33,9 +33,13 @@
 	}})
 }
 
-func newStore(clock clockwork.Clock, s *settings.Settings) *config.Store { return config.NewStore(clock, s.Root) }
+func newStore(clock clockwork.Clock, s *settings.Settings) *config.Store {
+	return config.NewStore(clock, s.Root)
+}
 
-func newPlatform(s *settings.Settings) *platformclient.Client { return platformclient.New(s.PlatformURL) }
+func newPlatform(s *settings.Settings) *platformclient.Client {
+	return platformclient.New(s.PlatformURL)
+}
 
 func watch(lc fx.Lifecycle, store *config.Store, platform *platformclient.Client, logger *log.Logger) {
 	ctx, cancel := context.WithCancel(context.Background())
