Benchmark whole processes through configuration, restart and zone changes

Cause: the promises on zones, restarts and cold targets had no measurement with real processes. Change: a bounded load with a balancer that lags, and benchmarks of eight daemons and thirty targets that start cold.

--- /dev/null
+++ b/benchmarks/fleet.go
@@ -0,0 +1,229 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"teaselbank.example/teaselbank/bundle"
+	"teaselbank.example/teaselbank/ident"
+	"teaselbank.example/teaselbank/standin/fleet"
+)
+
+// Sizes and times of the benchmarks with real processes.
+const (
+	fleetVMs        = 8
+	fleetShards     = 10
+	fleetTimeout    = 2 * time.Minute
+	warmUpTime      = 4 * time.Second
+	calmTime        = 3 * time.Second
+	zoneTime        = 4 * time.Second
+	zoneOutBound    = 3 * time.Second
+	configBoundS    = 5.0
+	configChanges   = 10
+	balancerDelay   = 300 * time.Millisecond
+	loadWorkers     = 8
+	loadPause       = 10 * time.Millisecond
+	loadDeadline    = 500
+	minServiceShare = 0.99
+	coldRequests    = 20
+	restartSettle   = 300 * time.Millisecond
+)
+
+var fleetZones = []ident.Zone{"petrosani", "lupeni", "vulcan"}
+
+func init() {
+	register("fleet_configuration", fleetConfiguration)
+	register("fleet_rolling_restart", fleetRollingRestart)
+	register("fleet_zone", fleetZone)
+}
+
+// withFleet runs f on a fleet of eight daemons and thirty targets, each shard in every zone.
+func withFleet(f func(ctx context.Context, fl *fleet.Fleet) ([]Result, error)) (results []Result, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), fleetTimeout)
+	defer cancel()
+	dir, err := os.MkdirTemp("", "teaselbank-bench-")
+	if err != nil {
+		return nil, fmt.Errorf("directory of the fleet: %w", err)
+	}
+	bin, err := filepath.Abs("bin")
+	if err != nil {
+		return nil, fmt.Errorf("programs: %w", err)
+	}
+	fl, err := fleet.Start(ctx, fleet.Options{
+		BinDir: bin, Dir: dir, Zones: fleetZones, VMs: fleetVMs, PlatformLag: time.Second,
+		DaemonArgs: []string{"--balancer-delay=" + balancerDelay.String(), "--drain-timeout=10s", "--peer-grace=3s"},
+		Services: []fleet.ServiceSpec{{ID: "dispecerat", Shards: fleetShards, Zones: fleetZones, Slots: 6, ColdSlots: 2,
+			Connections: 50, TargetArgs: []string{"--service-time=3ms", fmt.Sprintf("--cold-requests=%d", coldRequests)}}},
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer func() {
+		if stopErr := fl.Stop(); stopErr != nil && err == nil {
+			err = stopErr
+		}
+	}()
+	return f(ctx, fl)
+}
+
+func loadFor(ctx context.Context, fl *fleet.Fleet, d time.Duration) fleet.LoadResult {
+	ctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	return fleet.Load{Service: "dispecerat", Workers: loadWorkers, Pause: loadPause, DeadlineMillis: loadDeadline}.Run(ctx, fl)
+}
+
+// fleetConfiguration measures the time from publication until the last of eight processes has a bundle in force.
+func fleetConfiguration() ([]Result, error) {
+	return withFleet(func(ctx context.Context, fl *fleet.Fleet) ([]Result, error) {
+		var worst time.Duration
+		for range configChanges {
+			b := fl.Bundle()
+			start := time.Now()
+			if err := fl.Publish(ctx, b); err != nil {
+				return nil, err
+			}
+			if err := fleet.WaitFor(ctx, "version in force everywhere", func() bool { return allAt(ctx, fl, b) }); err != nil {
+				return nil, err
+			}
+			worst = max(worst, time.Since(start))
+		}
+		return []Result{{Name: "config_in_force_8_processes_worst", Value: worst.Seconds(), Unit: "s", Bound: configBoundS, Less: true}}, nil
+	})
+}
+
+func allAt(ctx context.Context, fl *fleet.Fleet, b *bundle.Bundle) bool {
+	for _, d := range fl.Daemons {
+		var status struct {
+			Config *struct {
+				Version uint64 `json:"version"`
+			} `json:"config"`
+		}
+		if _, err := fleet.Get(ctx, "http://"+d.Ops+"/v1/status", &status); err != nil || status.Config == nil || status.Config.Version < b.Version {
+			return false
+		}
+	}
+	return true
+}
+
+// fleetRollingRestart restarts all daemons in turn under load and counts requests that ended without an answer.
+func fleetRollingRestart() ([]Result, error) {
+	return withFleet(func(ctx context.Context, fl *fleet.Fleet) ([]Result, error) {
+		loadFor(ctx, fl, warmUpTime)
+		calm := loadFor(ctx, fl, calmTime)
+		loadCtx, stop := context.WithCancel(ctx)
+		done := make(chan fleet.LoadResult, 1)
+		go func() {
+			done <- fleet.Load{Service: "dispecerat", Workers: loadWorkers, Pause: loadPause, DeadlineMillis: loadDeadline}.Run(loadCtx, fl)
+		}()
+		err := restartAll(ctx, fl)
+		stop()
+		r := <-done
+		if err != nil {
+			return nil, err
+		}
+		return []Result{
+			{Name: "rolling_restart_calm_complete", Value: calm.CompleteShare(), Unit: "ratio", Bound: minServiceShare},
+			{Name: "rolling_restart_cut_off", Value: float64(r.CutOff), Unit: "requests", Bound: 0, Less: true},
+			{Name: "rolling_restart_requests", Value: float64(r.Sent), Unit: "requests", Informative: true},
+			{Name: "rolling_restart_complete_over_calm", Value: r.CompleteShare() / calm.CompleteShare(), Unit: "ratio", Bound: minServiceShare},
+		}, nil
+	})
+}
+
+func restartAll(ctx context.Context, fl *fleet.Fleet) error {
+	for _, d := range fl.Daemons {
+		if err := d.Process.Terminate(ctx); err != nil {
+			return err
+		}
+		if err := fl.StartDaemon(d); err != nil {
+			return err
+		}
+		if err := fleet.WaitFor(ctx, string(d.VM)+" ready", d.Ready); err != nil {
+			return err
+		}
+		pause(ctx, restartSettle)
+	}
+	return nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// fleetZone takes a zone out under load, restarts its targets so that they are cold, and puts it back.
+func fleetZone() ([]Result, error) {
+	return withFleet(func(ctx context.Context, fl *fleet.Fleet) ([]Result, error) {
+		loadFor(ctx, fl, warmUpTime)
+		calm := loadFor(ctx, fl, calmTime)
+		zone := fleetZones[1]
+		out, err := fl.SetZone(ctx, fl.Bundle(), zone, bundle.ZoneOut)
+		if err != nil {
+			return nil, err
+		}
+		leaving := loadFor(ctx, fl, zoneOutBound)
+		before, _, err := zoneStats(ctx, fl, zone)
+		if err != nil {
+			return nil, err
+		}
+		away := loadFor(ctx, fl, zoneTime)
+		after, _, err := zoneStats(ctx, fl, zone)
+		if err != nil {
+			return nil, err
+		}
+		if err := restartTargets(ctx, fl, zone); err != nil {
+			return nil, err
+		}
+		if _, err := fl.SetZone(ctx, out, zone, bundle.ZoneIn); err != nil {
+			return nil, err
+		}
+		back := loadFor(ctx, fl, zoneTime)
+		_, overload, err := zoneStats(ctx, fl, zone)
+		if err != nil {
+			return nil, err
+		}
+		c := calm.CompleteShare()
+		return []Result{
+			{Name: "zone_calm_complete", Value: c, Unit: "ratio", Bound: minServiceShare},
+			{Name: "zone_out_new_requests_after_3s", Value: float64(after - before), Unit: "requests", Bound: 0, Less: true},
+			{Name: "zone_leaving_complete_over_calm", Value: leaving.CompleteShare() / c, Unit: "ratio", Bound: minServiceShare},
+			{Name: "zone_away_complete_over_calm", Value: away.CompleteShare() / c, Unit: "ratio", Bound: minServiceShare},
+			{Name: "zone_back_complete_over_calm", Value: back.CompleteShare() / c, Unit: "ratio", Bound: minServiceShare},
+			{Name: "zone_back_cold_overloads", Value: float64(overload), Unit: "requests", Bound: 0, Less: true},
+		}, nil
+	})
+}
+
+func zoneStats(ctx context.Context, fl *fleet.Fleet, zone ident.Zone) (started, coldOverload int, err error) {
+	for _, t := range fl.Targets {
+		if t.Zone != zone {
+			continue
+		}
+		var s struct {
+			Started      int `json:"started"`
+			ColdOverload int `json:"cold_overload"`
+		}
+		if _, err := fleet.Get(ctx, "http://"+t.Address+"/admin/stats", &s); err != nil {
+			return 0, 0, err
+		}
+		started, coldOverload = started+s.Started, coldOverload+s.ColdOverload
+	}
+	return started, coldOverload, nil
+}
+
+func restartTargets(ctx context.Context, fl *fleet.Fleet, zone ident.Zone) error {
+	for _, t := range fl.Targets {
+		if t.Zone != zone {
+			continue
+		}
+		if _, err := fleet.Post(ctx, "http://"+t.Address+"/admin/restart", nil, nil); err != nil {
+			return err
+		}
+	}
+	return nil
+}
