--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,8 @@
 PROTOC_GEN_CONNECT_VERSION := v1.21.1
 VERSION := 0.1.0
 
+SHELL := /bin/bash
+
 BIN := $(CURDIR)/.bin
 LDFLAGS := -ldflags "-X teaselbank.example/teaselbank/version.Version=$(VERSION)"
 
@@ -36,8 +38,13 @@
 demo: build
 	./bin/demo
 
+# The figures also go to out/bench.txt; the exit code is that of the benchmarks.
 bench: build
-	go run ./benchmarks
+	@mkdir -p out
+	@set -o pipefail; go run ./benchmarks | tee out/bench.txt
+
+report:
+	go run ./benchmarks/report --commit "$$(git rev-parse --short HEAD)" --date "$$(date -u +%F)"
 
 generate:
 	GOBIN=$(BIN) go install github.com/bufbuild/buf/cmd/buf@$(BUF_VERSION)
--- /dev/null
+++ b/benchmarks/report/parse.go
@@ -0,0 +1,145 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"regexp"
+	"strconv"
+	"strings"
+)
+
+// figure is one BENCH line.
+type figure struct {
+	Name    string
+	Value   float64
+	Unit    string
+	Bound   float64
+	Less    bool
+	Bounded bool
+	Verdict string
+	Error   string
+}
+
+// share returns how much of its bound the figure uses: above 1 it is missed.
+func (f figure) share() float64 {
+	switch {
+	case f.Less && f.Bound == 0:
+		return f.Value
+	case f.Less:
+		return f.Value / f.Bound
+	case f.Value == 0:
+		return 0
+	default:
+		return f.Bound / f.Value
+	}
+}
+
+var fieldPattern = regexp.MustCompile(`(\w+)=("(?:[^"\\]|\\.)*"|\S+)`)
+
+// parse reads the BENCH lines of a run; other lines are skipped, a malformed BENCH line is an error.
+func parse(r io.Reader) ([]figure, error) {
+	var figures []figure
+	scanner := bufio.NewScanner(r)
+	for scanner.Scan() {
+		line := scanner.Text()
+		if !strings.HasPrefix(line, "BENCH ") {
+			continue
+		}
+		f, err := parseLine(line)
+		if err != nil {
+			return nil, fmt.Errorf("%q: %w", line, err)
+		}
+		figures = append(figures, f)
+	}
+	if err := scanner.Err(); err != nil {
+		return nil, fmt.Errorf("read figures: %w", err)
+	}
+	return figures, nil
+}
+
+func parseLine(line string) (figure, error) {
+	var f figure
+	for _, m := range fieldPattern.FindAllStringSubmatch(line, -1) {
+		key, value := m[1], m[2]
+		var err error
+		switch key {
+		case "name":
+			f.Name = value
+		case "unit":
+			f.Unit = value
+		case "verdict":
+			f.Verdict = value
+		case "error":
+			f.Error, err = strconv.Unquote(value)
+		case "value":
+			f.Value, err = strconv.ParseFloat(value, 64)
+		case "bound":
+			err = f.setBound(value)
+		}
+		if err != nil {
+			return f, fmt.Errorf("%s: %w", key, err)
+		}
+	}
+	if f.Name == "" || f.Verdict == "" {
+		return f, fmt.Errorf("no name or verdict")
+	}
+	return f, nil
+}
+
+func (f *figure) setBound(value string) error {
+	if value == "none" {
+		return nil
+	}
+	var ok bool
+	if value, ok = strings.CutPrefix(value, "<="); ok {
+		f.Less = true
+	} else if value, ok = strings.CutPrefix(value, ">="); !ok {
+		return fmt.Errorf("%q begins with neither <= nor >=", value)
+	}
+	bound, err := strconv.ParseFloat(value, 64)
+	f.Bound, f.Bounded = bound, err == nil
+	return err
+}
+
+// series is a set of figures that differ in the number at the end of their names, such as the size of a fleet.
+type series struct {
+	Name string
+	Unit string
+	X, Y []float64
+}
+
+var seriesPattern = regexp.MustCompile(`^(.*?)_(\d+)([a-z_]*)$`)
+
+// minPoints is how many points a curve needs.
+const minPoints = 3
+
+func findSeries(figures []figure) []series {
+	index := map[string]int{}
+	var all []series
+	for _, f := range figures {
+		m := seriesPattern.FindStringSubmatch(f.Name)
+		if m == nil || f.Error != "" {
+			continue
+		}
+		x, err := strconv.ParseFloat(m[2], 64)
+		if err != nil {
+			continue
+		}
+		key := m[1] + m[3]
+		i, ok := index[key]
+		if !ok {
+			i = len(all)
+			index[key] = i
+			all = append(all, series{Name: key, Unit: f.Unit})
+		}
+		all[i].X, all[i].Y = append(all[i].X, x), append(all[i].Y, f.Value)
+	}
+	var out []series
+	for _, s := range all {
+		if len(s.X) >= minPoints {
+			out = append(out, s)
+		}
+	}
+	return out
+}
