--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"os"
 	"path/filepath"
 	"time"
@@ -121,7 +122,7 @@
 	if err != nil {
 		return err
 	}
-	return WaitFor(ctx, "platform ready", func() bool { return status(f.Platform+"/v1/vms") == 200 })
+	return WaitFor(ctx, "platform ready", func() bool { return status(f.Platform+"/v1/vms") == http.StatusOK })
 }
 
 func (f *Fleet) startTargets(ctx context.Context) error {
@@ -140,7 +141,7 @@
 	}
 	return WaitFor(ctx, "targets ready", func() bool {
 		for _, t := range f.Targets {
-			if status("http://"+t.Address+"/health") != 200 {
+			if status("http://"+t.Address+"/health") != http.StatusOK {
 				return false
 			}
 		}
@@ -193,7 +194,7 @@
 }
 
 // Ready reports whether the daemon answers its readiness check.
-func (d *Daemon) Ready() bool { return status("http://"+d.Ops+"/readyz") == 200 }
+func (d *Daemon) Ready() bool { return statusWith(checkClient, "http://"+d.Ops+"/readyz") == http.StatusOK }
 
 func (f *Fleet) readyCount() int {
 	n := 0
--- a/standin/fleet/load.go
+++ b/standin/fleet/load.go
@@ -54,12 +54,7 @@
 	ticker := time.NewTicker(balancerInterval)
 	defer ticker.Stop()
 	for {
-		var ready []*Daemon
-		for _, d := range daemons {
-			if d.Ready() {
-				ready = append(ready, d)
-			}
-		}
+		ready := readyOf(daemons)
 		b.ready.Store(&ready)
 		select {
 		case <-ctx.Done():
@@ -69,6 +64,23 @@
 	}
 }
 
+// readyOf checks all daemons at once, so that a frozen one does not delay the check of the others.
+func readyOf(daemons []*Daemon) []*Daemon {
+	answers := make([]bool, len(daemons))
+	var wg sync.WaitGroup
+	for i, d := range daemons {
+		wg.Go(func() { answers[i] = d.Ready() })
+	}
+	wg.Wait()
+	var ready []*Daemon
+	for i, d := range daemons {
+		if answers[i] {
+			ready = append(ready, d)
+		}
+	}
+	return ready
+}
+
 func (b *balancer) pick() *Daemon {
 	ready := b.ready.Load()
 	if ready == nil || len(*ready) == 0 {
--- a/standin/fleet/publish.go
+++ b/standin/fleet/publish.go
@@ -115,6 +115,11 @@
 
 var client = &http.Client{Timeout: requestTimeout}
 
+// checkTimeout bounds one readiness check, as a balancer does.
+const checkTimeout = 250 * time.Millisecond
+
+var checkClient = &http.Client{Timeout: checkTimeout}
+
 func put(ctx context.Context, url string, body any) error {
 	_, err := call(ctx, http.MethodPut, url, body, nil)
 	return err
@@ -163,8 +168,10 @@
 	return resp.StatusCode, nil
 }
 
-func status(url string) int {
-	resp, err := client.Get(url)
+func status(url string) int { return statusWith(client, url) }
+
+func statusWith(c *http.Client, url string) int {
+	resp, err := c.Get(url)
 	if err != nil {
 		return 0
 	}
@@ -172,3 +179,8 @@
 	_, _ = io.Copy(io.Discard, resp.Body)
 	return resp.StatusCode
 }
+
+// SetPlatformDown makes every read of the platform fail, or succeed again.
+func (f *Fleet) SetPlatformDown(ctx context.Context, down bool) error {
+	return put(ctx, fmt.Sprintf("%s/admin/down?value=%t", f.Platform, down), nil)
+}
