--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -194,7 +194,9 @@
 }
 
 // Ready reports whether the daemon answers its readiness check.
-func (d *Daemon) Ready() bool { return statusWith(checkClient, "http://"+d.Ops+"/readyz") == http.StatusOK }
+func (d *Daemon) Ready() bool {
+	return statusWith(checkClient, "http://"+d.Ops+"/readyz") == http.StatusOK
+}
 
 func (f *Fleet) readyCount() int {
 	n := 0
