Keep the names of figures clear of the bars

Cause: a rendering of the report showed the names running into the bars. Change: smaller labels, because renderers substitute a wider font than the layout assumes. Measured: rendered again after the change; no name reaches a bar. Conclusion: none beyond the layout.

--- a/benchmarks/report/chart.go
+++ b/benchmarks/report/chart.go
@@ -17,6 +17,7 @@
 	barHeight   = 0.75 * vg.Centimeter
 	curveWidth  = 12 * vg.Centimeter
 	curveHeight = 8 * vg.Centimeter
+	labelSize   = vg.Length(8)
 	barWidth    = 10 * vg.Length(1)
 	// maxShare cuts off bars that miss their bound by far, so that the others stay readable.
 	maxShare = 2.0
@@ -49,6 +50,8 @@
 		names = append(names, f.Name)
 	}
 	p.NominalY(names...)
+	// Browsers substitute a wider font than the one the layout was computed with.
+	p.Y.Tick.Label.Font.Size = labelSize
 	p.X.Min, p.X.Max = 0, maxShare
 	limit, err := plotter.NewLine(plotter.XYs{{X: 1, Y: -0.5}, {X: 1, Y: float64(len(names)) - 0.5}})
 	if err != nil {
