--- a/benchmarks/report/chart.go
+++ b/benchmarks/report/chart.go
@@ -18,6 +18,7 @@
 	curveWidth  = 12 * vg.Centimeter
 	curveHeight = 8 * vg.Centimeter
 	labelSize   = vg.Length(8)
+	labelMargin = 2 * vg.Centimeter
 	barWidth    = 10 * vg.Length(1)
 	// maxShare cuts off bars that miss their bound by far, so that the others stay readable.
 	maxShare = 2.0
@@ -52,6 +53,7 @@
 	p.NominalY(names...)
 	// Browsers substitute a wider font than the one the layout was computed with.
 	p.Y.Tick.Label.Font.Size = labelSize
+	p.Y.Padding = labelMargin
 	p.X.Min, p.X.Max = 0, maxShare
 	limit, err := plotter.NewLine(plotter.XYs{{X: 1, Y: -0.5}, {X: 1, Y: float64(len(names)) - 0.5}})
 	if err != nil {
