Index the bundle in force once for each bundle

Cause: ServiceByID, TargetByID and ZoneByID scan lists, and a 52-leaf search looked up each replica of each shard.

Change: catalog.Cache builds an immutable index of the bundle in force and publishes it atomically. It compares with the bundle in force at each read, so a send is never checked against an earlier bundle. The index also holds why a target is barred (its zone is out or it is leaving).

Tests: with the comparison switched off, TestCacheFollowsTheBundleInForce fails.

--- /dev/null
+++ b/catalog/catalog_test.go
@@ -0,0 +1,61 @@
+package catalog_test
+
+import (
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"teaselbank.example/teaselbank/bundle"
+	"teaselbank.example/teaselbank/catalog"
+	"teaselbank.example/teaselbank/config"
+	"teaselbank.example/teaselbank/ident"
+	"teaselbank.example/teaselbank/outcome"
+)
+
+type source struct {
+	current atomic.Pointer[config.InForce]
+}
+
+func (s *source) Current() *config.InForce { return s.current.Load() }
+
+func inForce(version uint64, zone bundle.ZoneState, target bundle.TargetState) *config.InForce {
+	return &config.InForce{Verified: &bundle.Verified{Bundle: &bundle.Bundle{
+		Version: version, Zones: []bundle.Zone{{ID: "lupeni", State: zone}},
+		Services: []bundle.Service{{ID: "subventii", Targets: []bundle.Target{{ID: "t1", Zone: "lupeni", State: target}, {ID: "t2", Zone: "elsewhere", State: target}},
+			Snapshots: []bundle.Snapshot{{ID: "s1", Shards: []bundle.Shard{{ID: "a", Replicas: []ident.TargetID{"t1", "t2"}}}}}}},
+	}}}
+}
+
+// A target that operators bar, by its zone or by itself, must not look as if it may receive work.
+func TestBarred(t *testing.T) {
+	for _, c := range []struct {
+		zone   bundle.ZoneState
+		target bundle.TargetState
+		want   outcome.Reason
+	}{
+		{bundle.ZoneIn, bundle.TargetServing, outcome.ReasonNone},
+		{bundle.ZoneIn, bundle.TargetLeaving, outcome.ReasonTargetLeaving},
+		{bundle.ZoneOut, bundle.TargetServing, outcome.ReasonZoneOut},
+		{bundle.ZoneOut, bundle.TargetLeaving, outcome.ReasonZoneOut},
+	} {
+		built := catalog.Build(inForce(1, c.zone, c.target))
+		require.Equal(t, c.want, built.Barred("subventii", "t1"), "zone %s target %s", c.zone, c.target)
+		require.Equal(t, outcome.ReasonZoneOut, built.Barred("subventii", "t2"), "its zone is not in the bundle")
+		require.Equal(t, outcome.ReasonTargetUnknown, built.Barred("subventii", "t9"))
+		require.Equal(t, outcome.ReasonUnknownService, built.Barred("other", "t1"))
+	}
+}
+
+// A send that is checked after a bundle came into force must never be checked against the one before.
+func TestCacheFollowsTheBundleInForce(t *testing.T) {
+	s := &source{}
+	cache := catalog.NewCache(s)
+	require.Nil(t, cache.Current())
+	s.current.Store(inForce(1, bundle.ZoneIn, bundle.TargetServing))
+	first := cache.Current()
+	require.Same(t, first, cache.Current(), "one catalog is built for one bundle")
+	s.current.Store(inForce(2, bundle.ZoneOut, bundle.TargetServing))
+	require.Equal(t, outcome.ReasonZoneOut, cache.Current().Barred("subventii", "t1"))
+	require.Equal(t, outcome.ReasonNone, first.Barred("subventii", "t1"), "a catalog never changes")
+}
