Sample frequent decision lines and expose their counters

Cause: the line of a 52-leaf search has 2.7 KB, which is 407 KB/s at 151 searches/s, and building the fields of a line costs the request path even if the line is dropped.

The queue shrinks from 16384 to 4096 records, because the record of a search now holds all its leaf decisions. Written, dropped and sampled-out lines are OpenTelemetry counters.

--- a/plugin/logging/logging.go
+++ b/plugin/logging/logging.go
@@ -8,6 +8,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/jonboulle/clockwork"
+	"go.opentelemetry.io/otel/metric"
 	"go.uber.org/fx"
 
 	"teaselbank.example/teaselbank/decisionlog"
@@ -16,8 +17,9 @@
 	"teaselbank.example/teaselbank/settings"
 )
 
-// decisionCapacity is how many decision records may wait for the writer.
-const decisionCapacity = 16384
+// decisionCapacity is how many decision records may wait for the writer. The record of a 52-leaf search holds 52 leaf
+// decisions of 104 bytes; at the sampled rate 4096 records are 40 s of searches and take about 22 MB.
+const decisionCapacity = 4096
 
 func init() {
 	kernel.Register(kernel.Plugin{Name: "logging", Options: func() fx.Option {
@@ -39,8 +41,11 @@
 	return logger.With("vm", s.VMID, "zone", s.Zone), nil
 }
 
-func newDecisionLog(lc fx.Lifecycle, logger *log.Logger) *decisionlog.Log {
-	l := decisionlog.New(logger.With("component", "decision"), decisionCapacity)
+func newDecisionLog(lc fx.Lifecycle, logger *log.Logger, clock clockwork.Clock, meter metric.Meter) (*decisionlog.Log, error) {
+	l := decisionlog.New(logger.With("component", "decision"), decisionCapacity, decisionlog.WithClock(clock))
+	if err := l.Register(meter); err != nil {
+		return nil, err
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var writer sync.WaitGroup
 	lc.Append(fx.Hook{
@@ -54,5 +59,5 @@
 			return nil
 		},
 	})
-	return l
+	return l, nil
 }
