Make the scatter and gather of a search real

Deadline and bundle are checked again right before each send. Hedges and retries share the budget; a send that never reached a target is replaced outside it, because it placed no load. Losers are cancelled when a shard is answered. - search.Guard: the hook for queries whose fingerprint is not known to be safe. A quarantine found by this query's own canary is "unknown", because the canary ran. - outcome: the reason empty_reply and the kind discovery. - one decision line a search with all its sends; counters of outcomes, sends and results.

--- a/outcome/leaf.go
+++ b/outcome/leaf.go
@@ -15,6 +15,8 @@
 	SendHedge  SendKind = "hedge"
 	SendRetry  SendKind = "retry"
 	SendCanary SendKind = "canary"
+	// SendDiscovery asks a target which snapshots it holds; its answer is part of no search.
+	SendDiscovery SendKind = "discovery"
 )
 
 // LeafRequest is the part of a request that goes to one target. Its deadline travels in the context.
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -65,6 +65,7 @@
 	ReasonDialFailed          Reason = "dial_failed"
 	ReasonConnectionLost      Reason = "connection_lost"
 	ReasonTruncated           Reason = "truncated_reply"
+	ReasonEmpty               Reason = "empty_reply"
 	ReasonMalformed           Reason = "malformed_reply"
 	ReasonForeign             Reason = "foreign_reply"
 	ReasonWrongSnapshot       Reason = "wrong_snapshot"
--- a/plugin/search/search.go
+++ b/plugin/search/search.go
@@ -2,9 +2,12 @@
 package search
 
 import (
+	"github.com/jonboulle/clockwork"
 	"go.uber.org/fx"
 
+	"teaselbank.example/teaselbank/catalog"
 	"teaselbank.example/teaselbank/config"
+	"teaselbank.example/teaselbank/hedge"
 	"teaselbank.example/teaselbank/ident"
 	"teaselbank.example/teaselbank/kernel"
 	"teaselbank.example/teaselbank/replica"
@@ -14,12 +17,46 @@
 )
 
 func init() {
-	kernel.Register(kernel.Plugin{Name: "search", Options: func() fx.Option { return fx.Provide(newSearcher) }})
+	kernel.Register(kernel.Plugin{Name: "search", Options: func() fx.Option {
+		return fx.Options(
+			fx.Provide(catalog.NewCache, snapshot.NewBeliefs, hedge.NewGroup, newTracker, newSearcher),
+			fx.Provide(func(c *catalog.Cache) catalog.Source { return c }),
+			fx.Invoke(follow, register),
+		)
+	}})
 }
 
-func newSearcher(s *settings.Settings, source config.Source, sender search.LeafSender, decisions search.Decisions) *search.Searcher {
-	return &search.Searcher{
-		Config: source, Pinner: snapshot.Oldest{}, Sender: sender, Decisions: decisions,
-		Chooser: &replica.Chooser{Zone: ident.Zone(s.Zone), Config: source},
-	}
+func newTracker(s *settings.Settings, clock clockwork.Clock, source catalog.Source, beliefs *snapshot.Beliefs) *replica.Tracker {
+	return replica.New(ident.Zone(s.Zone), clock, source, beliefs)
+}
+
+type parts struct {
+	fx.In
+	Clock     clockwork.Clock
+	Catalog   catalog.Source
+	Beliefs   *snapshot.Beliefs
+	Replicas  *replica.Tracker
+	Hedge     *hedge.Group
+	Sender    search.LeafSender
+	Decisions search.Decisions
+	// Guard is provided by the quarantine plug-in if that is part of the build.
+	Guard search.Guard `optional:"true"`
+}
+
+func newSearcher(p parts) *search.Searcher {
+	return &search.Searcher{Clock: p.Clock, Catalog: p.Catalog, Beliefs: p.Beliefs, Replicas: p.Replicas, Hedge: p.Hedge,
+		Sender: p.Sender, Decisions: p.Decisions, Guard: p.Guard}
+}
+
+// follow indexes each bundle as it comes into force, ahead of the first search, and forgets what it no longer names.
+func follow(store *config.Store, source catalog.Source, beliefs *snapshot.Beliefs, replicas *replica.Tracker, hedges *hedge.Group) {
+	store.OnChange(func(*config.InForce) {
+		current := source.Current()
+		beliefs.Prune(current.HasTarget)
+		replicas.Prune(current.HasTarget)
+		hedges.Prune(func(id ident.ServiceID) bool {
+			_, ok := current.Service(id)
+			return ok
+		})
+	})
 }
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -1,47 +1,175 @@
-// Package replica chooses which replica of a shard receives a leaf request.
 package replica
 
 import (
 	"math/rand/v2"
 	"slices"
+	"time"
 
-	"teaselbank.example/teaselbank/bundle"
-	"teaselbank.example/teaselbank/config"
+	"teaselbank.example/teaselbank/catalog"
 	"teaselbank.example/teaselbank/ident"
+	"teaselbank.example/teaselbank/outcome"
+	"teaselbank.example/teaselbank/snapshot"
 )
 
-// Chooser picks among the replicas that may receive new work, the nearest zone first.
-type Chooser struct {
-	Zone   ident.Zone
-	Config config.Source
+// Need describes one send for which a replica is wanted.
+type Need struct {
+	Service  ident.ServiceID
+	Snapshot ident.SnapshotID
+	Shard    *catalog.Shard
+	Kind     outcome.SendKind
+	// Tried lists the targets this shard was already sent to.
+	Tried []ident.TargetID
+	// Probe allows the choice of a target whose state must be found out: one that failed and is due for a probe, or
+	// one of which it is unknown whether it holds the snapshot.
+	Probe bool
 }
 
-// Choose returns a replica that was not tried yet. It refuses replicas that are leaving or in a zone taken out.
-func (c *Chooser) Choose(s *bundle.Service, shard *bundle.Shard, tried []ident.TargetID) (ident.TargetID, bool) {
-	force := c.Config.Current()
-	var near, far []ident.TargetID
-	for _, id := range shard.Replicas {
-		t := s.TargetByID(id)
-		if t == nil || slices.Contains(tried, id) || !Eligible(force.Bundle, t) {
+// Reason says why a replica was chosen.
+type Reason string
+
+// Reasons of a choice.
+const (
+	OnlyOne    Reason = "only"
+	LowerScore Reason = "score"
+	Probed     Reason = "probe"
+	// LastResort: every replica that is left failed recently.
+	LastResort Reason = "last_resort"
+)
+
+// Choice is the replica for one send.
+type Choice struct {
+	Target *catalog.Target
+	Reason Reason
+	// Stale reports that the choice rests on data older than StaleAfter.
+	Stale bool
+}
+
+// rank orders candidates; only those of the best rank present are compared by score.
+type rank uint8
+
+const (
+	rankProbe rank = iota
+	rankHealthy
+	// rankUnsure: it is unknown whether the target holds the snapshot.
+	rankUnsure
+	rankFailed
+	rankCount
+)
+
+// Choose returns a replica by power of two choices among the best-ranked candidates. It never returns a target that
+// the bundle in force bars. If there is none, the reason says why.
+func (t *Tracker) Choose(n Need) (Choice, outcome.Reason) {
+	now := t.clock.Now()
+	var ranked [rankCount][]*catalog.Target
+	missing := outcome.ReasonNoReplica
+	current := t.catalog.Current()
+	for _, target := range n.Shard.Replicas {
+		if slices.Contains(n.Tried, target.ID) {
+			continue
+		}
+		if reason := current.Barred(n.Service, target.ID); reason != outcome.ReasonNone {
+			missing = reason
 			continue
 		}
-		if t.Zone == c.Zone {
-			near = append(near, id)
-		} else {
-			far = append(far, id)
+		r, reason := t.rank(target, n, now)
+		if reason != outcome.ReasonNone {
+			missing = reason
+			continue
+		}
+		ranked[r] = append(ranked[r], target)
+	}
+	if probe := ranked[rankProbe]; len(probe) > 0 && t.claim(probe[0].ID, now) {
+		_, stale := t.score(probe[0], t.state(probe[0].ID), now)
+		return Choice{Target: probe[0], Reason: Probed, Stale: stale}, outcome.ReasonNone
+	}
+	// A probe that another query has claimed meanwhile ranks as the failed target that it is.
+	ranked[rankFailed] = append(ranked[rankFailed], ranked[rankProbe]...)
+	for r := rankHealthy; r < rankCount; r++ {
+		if len(ranked[r]) > 0 {
+			return t.best(ranked[r], r, now), outcome.ReasonNone
 		}
 	}
-	if len(near) == 0 {
-		near = far
+	return Choice{}, missing
+}
+
+// rank places a candidate, or says why it does not serve this send.
+func (t *Tracker) rank(target *catalog.Target, n Need, now time.Time) (rank, outcome.Reason) {
+	k := t.state(target.ID).known.Load()
+	held := t.beliefs.State(target.ID, n.Snapshot)
+	extra := n.Kind != outcome.SendFirst
+	switch {
+	case now.Before(k.drainingUntil):
+		return 0, outcome.ReasonTargetDraining
+	case held == snapshot.Lacks:
+		return 0, outcome.ReasonSnapshotNotHeld
+	case extra && k.cold:
+		// A target in cold start gets no hedges or retries.
+		return 0, outcome.ReasonColdStart
+	case k.failures > 0 && n.Probe && !now.Before(k.probeAt):
+		return rankProbe, outcome.ReasonNone
+	case k.failures > 0 && n.Kind == outcome.SendHedge:
+		return 0, outcome.ReasonNoReplica
+	case k.failures > 0:
+		return rankFailed, outcome.ReasonNone
+	case held != snapshot.Holds && !n.Probe:
+		return rankUnsure, outcome.ReasonNone
+	default:
+		return rankHealthy, outcome.ReasonNone
+	}
+}
+
+// claim takes the one probe that is due; further probes wait until the next one is due.
+func (t *Tracker) claim(id ident.TargetID, now time.Time) bool {
+	s := t.state(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	k := *s.known.Load()
+	if k.failures == 0 || now.Before(k.probeAt) {
+		return false
+	}
+	k.probeAt = now.Add(min(maxAvoidance, minAvoidance<<min(k.failures, 10)))
+	s.known.Store(&k)
+	return true
+}
+
+func (t *Tracker) best(list []*catalog.Target, r rank, now time.Time) Choice {
+	reason := LowerScore
+	switch {
+	case r == rankFailed:
+		reason = LastResort
+	case len(list) == 1:
+		reason = OnlyOne
+	}
+	i := rand.IntN(len(list))
+	first := list[i]
+	score, stale := t.score(first, t.state(first.ID), now)
+	if len(list) == 1 {
+		return Choice{first, reason, stale}
 	}
-	if len(near) == 0 {
-		return "", false
+	j := rand.IntN(len(list) - 1)
+	if j >= i {
+		j++
 	}
-	return near[rand.IntN(len(near))], true
+	second := list[j]
+	otherScore, otherStale := t.score(second, t.state(second.ID), now)
+	stale = stale || otherStale
+	if otherScore < score {
+		first = second
+	}
+	return Choice{first, reason, stale}
+}
+
+// Barred says why the target may receive no new work under the bundle in force now, or ReasonNone if it may.
+func (t *Tracker) Barred(service ident.ServiceID, target ident.TargetID) outcome.Reason {
+	return t.catalog.Current().Barred(service, target)
+}
+
+// Usable reports whether the target may receive work and has not failed recently.
+func (t *Tracker) Usable(target *catalog.Target) bool {
+	return target.Barred == outcome.ReasonNone && t.state(target.ID).known.Load().failures == 0
 }
 
-// Eligible reports whether operators let the target receive new work.
-func Eligible(b *bundle.Bundle, t *bundle.Target) bool {
-	zone := b.ZoneByID(t.Zone)
-	return t.State == bundle.TargetServing && zone != nil && zone.State == bundle.ZoneIn
+// Explores reports whether a choice was made to find out the state of its target.
+func (t *Tracker) Explores(c Choice, snap ident.SnapshotID) bool {
+	return c.Reason == Probed || t.beliefs.State(c.Target.ID, snap) != snapshot.Holds
 }
--- /dev/null
+++ b/replica/replica_test.go
@@ -0,0 +1,176 @@
+package replica_test
+
+import (
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"teaselbank.example/teaselbank/bundle"
+	"teaselbank.example/teaselbank/catalog"
+	"teaselbank.example/teaselbank/config"
+	"teaselbank.example/teaselbank/ident"
+	"teaselbank.example/teaselbank/outcome"
+	"teaselbank.example/teaselbank/replica"
+	"teaselbank.example/teaselbank/snapshot"
+)
+
+type source struct {
+	current atomic.Pointer[config.InForce]
+}
+
+func (s *source) Current() *config.InForce { return s.current.Load() }
+
+type world struct {
+	clock   *clockwork.FakeClock
+	source  source
+	beliefs *snapshot.Beliefs
+	tracker *replica.Tracker
+	shard   *catalog.Shard
+}
+
+// newWorld has one shard with the replicas near, far and third, in a zone each; the tracker runs in the zone of near.
+func newWorld() *world {
+	w := &world{clock: clockwork.NewFakeClock()}
+	w.publish(nil)
+	cache := catalog.NewCache(&w.source)
+	w.beliefs = snapshot.NewBeliefs(w.clock)
+	w.tracker = replica.New("petrosani", w.clock, cache, w.beliefs)
+	s, _ := cache.Current().Service("subventii")
+	w.shard = &s.Snapshots[0].Shards[0]
+	for _, t := range w.shard.Replicas {
+		w.beliefs.Learn(snapshot.Reply{Target: t.ID, Incarnation: "1", Held: []ident.SnapshotID{"s1"}, Sent: w.clock.Now()})
+	}
+	return w
+}
+
+func (w *world) publish(change func(*bundle.Bundle)) {
+	b := &bundle.Bundle{Zones: []bundle.Zone{{ID: "petrosani", State: bundle.ZoneIn}, {ID: "lupeni", State: bundle.ZoneIn}, {ID: "vulcan", State: bundle.ZoneIn}},
+		Services: []bundle.Service{{ID: "subventii", Targets: []bundle.Target{{ID: "near", Zone: "petrosani", State: bundle.TargetServing},
+			{ID: "far", Zone: "lupeni", State: bundle.TargetServing}, {ID: "third", Zone: "vulcan", State: bundle.TargetServing}},
+			Snapshots: []bundle.Snapshot{{ID: "s1", Shards: []bundle.Shard{{ID: "a", Replicas: []ident.TargetID{"near", "far", "third"}}}}}}}}
+	if change != nil {
+		change(b)
+	}
+	w.source.current.Store(&config.InForce{Verified: &bundle.Verified{Bundle: b}})
+}
+
+func (w *world) target(id ident.TargetID) *catalog.Target {
+	return w.shard.Replicas[slices.IndexFunc(w.shard.Replicas, func(t *catalog.Target) bool { return t.ID == id })]
+}
+
+func (w *world) done(id ident.TargetID, res outcome.LeafResult, elapsed time.Duration) {
+	w.tracker.Begin(w.target(id)).Done(&res, elapsed)
+}
+
+func (w *world) choose(kind outcome.SendKind, probe bool, tried ...ident.TargetID) (replica.Choice, outcome.Reason) {
+	return w.tracker.Choose(replica.Need{Service: "subventii", Snapshot: "s1", Shard: w.shard, Kind: kind, Probe: probe, Tried: tried})
+}
+
+func ok(load uint32) outcome.LeafResult {
+	return outcome.LeafResult{Status: outcome.LeafOK, Incarnation: "1", Load: load}
+}
+
+// Load and distance must decide, not chance: a near replica is left only when its queue costs more than the way.
+func TestChoiceWeighsLoadAgainstDistance(t *testing.T) {
+	w := newWorld()
+	w.done("near", ok(0), 3*time.Millisecond)
+	w.done("far", ok(0), 11*time.Millisecond)
+	choice, _ := w.choose(outcome.SendFirst, false, "third")
+	require.Equal(t, ident.TargetID("near"), choice.Target.ID)
+	require.False(t, choice.Stale)
+	w.done("near", ok(4), 3*time.Millisecond)
+	choice, _ = w.choose(outcome.SendFirst, false, "third")
+	require.Equal(t, ident.TargetID("far"), choice.Target.ID, "5 x 3 ms exceeds 3 ms and 8 ms of distance")
+	w.clock.Advance(replica.StaleAfter + time.Millisecond)
+	choice, _ = w.choose(outcome.SendFirst, false, "third")
+	require.Equal(t, ident.TargetID("near"), choice.Target.ID, "an old queue length no longer counts")
+	require.True(t, choice.Stale)
+}
+
+// A target that fails or swallows requests must be avoided, yet found again with one probe at a time.
+func TestFailedTargetsAreAvoidedAndProbed(t *testing.T) {
+	for name, fail := range map[string]func(*world){
+		"connection lost": func(w *world) {
+			w.done("near", outcome.LeafLost(outcome.ReasonConnectionLost, ""), time.Millisecond)
+		},
+		"black hole": func(w *world) {
+			for range 3 {
+				w.done("near", outcome.LeafLost(outcome.ReasonCancelled, ""), time.Second)
+			}
+		},
+	} {
+		w := newWorld()
+		fail(w)
+		require.False(t, w.tracker.Usable(w.target("near")), name)
+		for range 50 {
+			choice, _ := w.choose(outcome.SendFirst, true)
+			require.NotEqual(t, ident.TargetID("near"), choice.Target.ID, name)
+		}
+		choice, _ := w.choose(outcome.SendFirst, true, "far", "third")
+		require.Equal(t, replica.LastResort, choice.Reason, name)
+		_, reason := w.choose(outcome.SendHedge, false, "far", "third")
+		require.Equal(t, outcome.ReasonNoReplica, reason, "no hedge goes to a failed target")
+		w.clock.Advance(600 * time.Millisecond)
+		choice, _ = w.choose(outcome.SendFirst, true)
+		require.Equal(t, replica.Probed, choice.Reason, name)
+		require.Equal(t, ident.TargetID("near"), choice.Target.ID, name)
+		again, _ := w.choose(outcome.SendFirst, true)
+		require.NotEqual(t, replica.Probed, again.Reason, "one probe at a time")
+		w.done("near", ok(0), time.Millisecond)
+		require.True(t, w.tracker.Usable(w.target("near")), name)
+	}
+}
+
+// A draining target must get nothing until it restarts; a target in cold start must get no extra load.
+func TestDrainingAndColdTargets(t *testing.T) {
+	w := newWorld()
+	w.done("near", outcome.LeafResult{Status: outcome.LeafNotRun, Reason: outcome.ReasonTargetDraining, Incarnation: "1"}, time.Millisecond)
+	_, reason := w.choose(outcome.SendFirst, true, "far", "third")
+	require.Equal(t, outcome.ReasonTargetDraining, reason)
+	w.done("near", outcome.LeafResult{Status: outcome.LeafOK, Incarnation: "2", Cold: true}, time.Millisecond)
+	_, reason = w.choose(outcome.SendFirst, false, "far", "third")
+	require.Equal(t, outcome.ReasonNone, reason)
+	for _, kind := range []outcome.SendKind{outcome.SendHedge, outcome.SendRetry} {
+		_, reason = w.choose(kind, false, "far", "third")
+		require.Equal(t, outcome.ReasonColdStart, reason)
+	}
+}
+
+// Whatever replies say, a barred target, one that lacks the snapshot and one already tried must never be chosen.
+func TestChoiceNeverTakesAForbiddenTarget(t *testing.T) {
+	ids := []ident.TargetID{"near", "far", "third"}
+	results := []outcome.LeafResult{ok(0), ok(9), outcome.LeafLost(outcome.ReasonConnectionLost, ""), outcome.LeafLost(outcome.ReasonDeadline, ""),
+		outcome.LeafRefused(outcome.ReasonTargetShed, ""), outcome.LeafRefused(outcome.ReasonDialFailed, "")}
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld()
+		lacking := rapid.SampledFrom(append(ids, "none")).Draw(t, "lacking")
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			out, leaving := rapid.IntRange(0, 3).Draw(t, "zone out"), rapid.IntRange(0, 3).Draw(t, "leaving")
+			w.publish(func(b *bundle.Bundle) {
+				if out < 3 {
+					b.Zones[out].State = bundle.ZoneOut
+				}
+				if leaving < 3 {
+					b.Services[0].Targets[leaving].State = bundle.TargetLeaving
+				}
+			})
+			w.beliefs.Learn(snapshot.Reply{Target: lacking, Incarnation: "1", Held: []ident.SnapshotID{"s2"}, Sent: w.clock.Now()})
+			w.done(rapid.SampledFrom(ids).Draw(t, "target"), rapid.SampledFrom(results).Draw(t, "result"), time.Millisecond)
+			w.clock.Advance(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+			tried := rapid.SampledFrom(ids).Draw(t, "tried")
+			choice, reason := w.choose(outcome.SendFirst, rapid.Bool().Draw(t, "probe"), tried)
+			if reason != outcome.ReasonNone {
+				continue
+			}
+			got := slices.Index(ids, choice.Target.ID)
+			if got == out || got == leaving || choice.Target.ID == lacking && w.beliefs.State(lacking, "s1") == snapshot.Lacks || choice.Target.ID == tried {
+				t.Fatalf("chose %s with zone %d out, %d leaving, %s lacking, %s tried", choice.Target.ID, out, leaving, lacking, tried)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/search/stats.go
@@ -0,0 +1,64 @@
+package search
+
+import (
+	"sync/atomic"
+
+	"teaselbank.example/teaselbank/hedge"
+	"teaselbank.example/teaselbank/outcome"
+)
+
+// Stats counts what searches met. Its zero value is ready to use.
+type Stats struct {
+	classes  [10]atomic.Uint64
+	kinds    [5]atomic.Uint64
+	outcomes [4]atomic.Uint64
+	// Rerouted counts first sends that replaced one which never reached a target.
+	Rerouted atomic.Uint64
+	// Expired counts sends that were not made because the deadline had passed.
+	Expired atomic.Uint64
+	// NoToken and AllSlow count extra sends that the budget denied.
+	NoToken atomic.Uint64
+	AllSlow atomic.Uint64
+}
+
+// SendKinds lists the kinds of sends that are counted.
+var SendKinds = []outcome.SendKind{outcome.SendFirst, outcome.SendHedge, outcome.SendRetry, outcome.SendCanary, outcome.SendDiscovery}
+
+// Outcomes lists the outcomes that are counted.
+var Outcomes = []outcome.Kind{outcome.Complete, outcome.Partial, outcome.NotRun, outcome.Unknown}
+
+func count[T comparable](counters []atomic.Uint64, names []T, name T) {
+	if i := index(names, name); i >= 0 {
+		counters[i].Add(1)
+	}
+}
+
+func index[T comparable](names []T, name T) int {
+	for i := range names {
+		if names[i] == name {
+			return i
+		}
+	}
+	return -1
+}
+
+func (s *Stats) class(c Class)           { count(s.classes[:], Classes, c) }
+func (s *Stats) kind(k outcome.SendKind) { count(s.kinds[:], SendKinds, k) }
+func (s *Stats) outcome(k outcome.Kind)  { count(s.outcomes[:], Outcomes, k) }
+
+func (s *Stats) denied(d hedge.Denial) {
+	if d == hedge.AllSlow {
+		s.AllSlow.Add(1)
+		return
+	}
+	s.NoToken.Add(1)
+}
+
+// Class returns how many results counted as the class.
+func (s *Stats) Class(c Class) uint64 { return s.classes[index(Classes, c)].Load() }
+
+// Sends returns how many leaf requests of the kind were handed to the sender.
+func (s *Stats) Sends(k outcome.SendKind) uint64 { return s.kinds[index(SendKinds, k)].Load() }
+
+// Outcome returns how many searches had the outcome.
+func (s *Stats) Outcome(k outcome.Kind) uint64 { return s.outcomes[index(Outcomes, k)].Load() }
