--- /dev/null
+++ b/benchmarks/search_fleet.go
@@ -0,0 +1,217 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"teaselbank.example/teaselbank/bundle"
+	"teaselbank.example/teaselbank/catalog"
+	"teaselbank.example/teaselbank/config"
+	"teaselbank.example/teaselbank/hedge"
+	"teaselbank.example/teaselbank/ident"
+	"teaselbank.example/teaselbank/outcome"
+	"teaselbank.example/teaselbank/replica"
+	"teaselbank.example/teaselbank/search"
+	"teaselbank.example/teaselbank/snapshot"
+)
+
+// The fleet that searches are measured on. Service times are log-normal around the median; the design page computes
+// with 1.2 to 3.5 ms a leaf request, and links are those of Valea Jiului.
+const (
+	fleetService    ident.ServiceID  = "subventii"
+	fleetSnapshot   ident.SnapshotID = "s1"
+	medianService                    = 3 * time.Millisecond
+	serviceSigma                     = 0.2
+	stragglerFactor                  = 20
+	zoneDelay                        = 4 * time.Millisecond
+	callerDelay                      = 3 * time.Millisecond
+	targetSlots                      = 2
+	fleetDeadline                    = 250 * time.Millisecond
+)
+
+// fleetZones are the availability zones; the searcher runs in the first one.
+var fleetZones = []ident.Zone{"petrosani", "lupeni", "vulcan"}
+
+// leafBody is the reply of every fake leaf.
+var leafBody = []byte(`{"orders":[4711]}`)
+
+// fleet holds fake leaf targets and a searcher in front of them. Shard i has replicas in the zones i and i+1, so one
+// shard in three has none in the searcher's zone.
+type fleet struct {
+	searcher *search.Searcher
+	zones    map[ident.TargetID]ident.Zone
+	slots    map[ident.TargetID]chan struct{}
+	// stragglers is the share of requests that take stragglerFactor times as long.
+	stragglers float64
+	// slowdown multiplies every service time.
+	slowdown atomic.Int64
+	// lost targets refuse connections; instant ones answer without delay, for measurements of cost.
+	lost    sync.Map
+	instant bool
+	sends   atomic.Int64
+}
+
+// fixedSource is a bundle that never changes.
+type fixedSource struct{ force *config.InForce }
+
+// Current returns the bundle.
+func (s fixedSource) Current() *config.InForce { return s.force }
+
+// discard takes decisions without writing them.
+type discard struct{}
+
+// Admit takes one line in a thousand.
+func (discard) Admit(string) (int, bool) { return 1000, rand.IntN(1000) == 0 }
+
+// Add drops the line.
+func (discard) Add(string, ...any) {}
+
+func newFleet(shards, extraPercent int, stragglers float64) *fleet {
+	f := &fleet{zones: map[ident.TargetID]ident.Zone{}, slots: map[ident.TargetID]chan struct{}{}, stragglers: stragglers}
+	f.slowdown.Store(1)
+	service := bundle.Service{ID: fleetService, Slots: targetSlots}
+	snap := bundle.Snapshot{ID: fleetSnapshot}
+	for i := range shards {
+		shard := bundle.Shard{ID: ident.ShardID(fmt.Sprintf("shard-%d", i))}
+		for r := range 2 {
+			t := bundle.Target{ID: ident.TargetID(fmt.Sprintf("t%d-%d", i, r)), Zone: fleetZones[(i+r)%len(fleetZones)], State: bundle.TargetServing}
+			f.zones[t.ID], f.slots[t.ID] = t.Zone, make(chan struct{}, targetSlots)
+			service.Targets = append(service.Targets, t)
+			shard.Replicas = append(shard.Replicas, t.ID)
+		}
+		snap.Shards = append(snap.Shards, shard)
+	}
+	service.Snapshots = []bundle.Snapshot{snap}
+	b := &bundle.Bundle{Version: 1, Services: []bundle.Service{service}, Policy: bundle.Policy{ExtraLoadPercent: extraPercent}}
+	for _, z := range fleetZones {
+		b.Zones = append(b.Zones, bundle.Zone{ID: z, State: bundle.ZoneIn})
+	}
+	clock := clockwork.NewRealClock()
+	source := catalog.NewCache(fixedSource{&config.InForce{Verified: &bundle.Verified{Bundle: b}}})
+	beliefs := snapshot.NewBeliefs(clock)
+	f.searcher = &search.Searcher{Clock: clock, Catalog: source, Beliefs: beliefs, Hedge: hedge.NewGroup(clock), Sender: f,
+		Replicas: replica.New(fleetZones[0], clock, source, beliefs), Decisions: discard{}}
+	return f
+}
+
+// Send runs a leaf request at a fake target.
+func (f *fleet) Send(ctx context.Context, r outcome.LeafRequest) outcome.LeafResult {
+	f.sends.Add(1)
+	if _, lost := f.lost.Load(r.Target); lost {
+		return outcome.LeafRefused(outcome.ReasonDialFailed, "connection refused")
+	}
+	var took time.Duration
+	if !f.instant {
+		var ok bool
+		if took, ok = f.work(ctx, r.Target); !ok {
+			return outcome.LeafLost(outcome.ReasonCancelled, "cancelled at the target")
+		}
+	}
+	return outcome.LeafResult{Status: outcome.LeafOK, ID: r.ID, Shard: r.Shard, Snapshot: r.Snapshot, Incarnation: "1",
+		Held: []ident.SnapshotID{fleetSnapshot}, Body: leafBody, Service: took}
+}
+
+// work waits for the way there, a slot, the service time and the way back.
+func (f *fleet) work(ctx context.Context, target ident.TargetID) (time.Duration, bool) {
+	way := time.Duration(0)
+	if f.zones[target] != fleetZones[0] {
+		way = zoneDelay
+	}
+	if !wait(ctx, way) {
+		return 0, false
+	}
+	slots := f.slots[target]
+	select {
+	case slots <- struct{}{}:
+	case <-ctx.Done():
+		return 0, false
+	}
+	took := f.serviceTime()
+	ok := wait(ctx, took)
+	<-slots
+	return took, ok && wait(ctx, way)
+}
+
+func (f *fleet) serviceTime() time.Duration {
+	d := float64(medianService) * math.Exp(serviceSigma*rand.NormFloat64()) * float64(f.slowdown.Load())
+	if rand.Float64() < f.stragglers {
+		d *= stragglerFactor
+	}
+	return time.Duration(d)
+}
+
+func wait(ctx context.Context, d time.Duration) bool {
+	if d == 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// search runs one search and returns its answer with the delay of the caller's link.
+func (f *fleet) search() (search.Answer, time.Duration) {
+	start := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), fleetDeadline)
+	defer cancel()
+	answer := f.searcher.Search(ctx, search.Query{Service: fleetService, Body: []byte(`{"bunker":12}`)})
+	return answer, time.Since(start) + 2*callerDelay
+}
+
+// load is what a series of searches at a steady rate met.
+type load struct {
+	latencies []time.Duration
+	answered  int
+	expected  int
+}
+
+// quantile returns the latency that the share q of the searches did not exceed.
+func (l *load) quantile(q float64) time.Duration {
+	slices.Sort(l.latencies)
+	return l.latencies[min(len(l.latencies)-1, int(math.Ceil(q*float64(len(l.latencies))))-1)]
+}
+
+// coverage returns the share of expected shards that answered.
+func (l *load) coverage() float64 { return float64(l.answered) / float64(l.expected) }
+
+// run starts searches at a steady rate, whether or not earlier ones have ended, and waits for all of them.
+func (f *fleet) run(searches, perSecond int) *load {
+	l := &load{}
+	var mu sync.Mutex
+	var pending sync.WaitGroup
+	ticker := time.NewTicker(time.Second / time.Duration(perSecond))
+	defer ticker.Stop()
+	for range searches {
+		<-ticker.C
+		pending.Go(func() {
+			answer, took := f.search()
+			mu.Lock()
+			defer mu.Unlock()
+			l.latencies = append(l.latencies, took)
+			l.answered += answer.Coverage.Answered
+			l.expected += answer.Coverage.Expected
+		})
+	}
+	pending.Wait()
+	return l
+}
+
+// extraShare returns hedges and retries over first sends.
+func (f *fleet) extraShare() float64 {
+	s := &f.searcher.Stats
+	extra := s.Sends(outcome.SendHedge) + s.Sends(outcome.SendRetry) + s.Sends(outcome.SendDiscovery)
+	return float64(extra) / float64(s.Sends(outcome.SendFirst))
+}
--- /dev/null
+++ b/benchmarks/search_tail.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"teaselbank.example/teaselbank/ident"
+)
+
+// Targets of searches, from the design page.
+const (
+	maxSearchP99Millis = 76
+	maxTailRatio       = 0.75
+	maxExtraShare      = 0.05
+	minLostCoverage    = 1.0
+)
+
+// Load of the measurements: 150 searches/s is a node's share at the design size.
+const (
+	searchRate   = 150
+	warmSearches = 150
+	tailSearches = 1500
+	caseSearches = 450
+	fleetShards  = 52
+	extraPercent = 5
+)
+
+func init() {
+	register("search_tail", searchTail)
+	register("search_slow", searchSlow)
+	register("search_replicas_lost", searchReplicasLost)
+}
+
+// searchTail measures a 52-leaf search at 150 searches/s: median service time 3 ms, 1% stragglers of 20 times the
+// median, two replicas a shard in two of three zones, two slots a target, 4 ms one way between zones and 3 ms one way
+// to the caller. The baseline is the same run with an extra load of 0%, that is without hedges.
+func searchTail() ([]Result, error) {
+	plain := newFleet(fleetShards, 0, 0.01)
+	plain.run(warmSearches, searchRate)
+	base := plain.run(tailSearches, searchRate)
+	hedged := newFleet(fleetShards, extraPercent, 0.01)
+	hedged.run(warmSearches, searchRate)
+	got := hedged.run(tailSearches, searchRate)
+	p99, basep99 := got.quantile(0.99), base.quantile(0.99)
+	return []Result{
+		{Name: "search_p99", Value: p99.Seconds() * 1000, Unit: "ms", Bound: maxSearchP99Millis, Less: true},
+		{Name: "search_p50", Value: got.quantile(0.5).Seconds() * 1000, Unit: "ms", Informative: true},
+		{Name: "search_p99_without_hedges", Value: basep99.Seconds() * 1000, Unit: "ms", Informative: true},
+		{Name: "search_p50_without_hedges", Value: base.quantile(0.5).Seconds() * 1000, Unit: "ms", Informative: true},
+		{Name: "search_p99_over_without_hedges", Value: float64(p99) / float64(basep99), Unit: "ratio", Bound: maxTailRatio, Less: true},
+		{Name: "search_extra_load_calm", Value: hedged.extraShare(), Unit: "ratio", Bound: maxExtraShare, Less: true},
+		{Name: "search_coverage_calm", Value: got.coverage(), Unit: "ratio", Informative: true},
+	}, nil
+}
+
+// searchSlow makes every leaf ten times as slow after a calm second, at a rate that the slots still bear.
+func searchSlow() ([]Result, error) {
+	f := newFleet(fleetShards, extraPercent, 0.01)
+	f.run(warmSearches, searchRate)
+	f.slowdown.Store(10)
+	slow := f.run(caseSearches/3, searchRate/3)
+	return []Result{
+		{Name: "search_extra_load_slow", Value: f.extraShare(), Unit: "ratio", Bound: maxExtraShare, Less: true},
+		{Name: "search_coverage_slow", Value: slow.coverage(), Unit: "ratio", Informative: true},
+	}, nil
+}
+
+// searchReplicasLost loses one replica of every shard at once: its process is gone, so its host refuses connections.
+// Every search from then on counts, also those that meet the loss first.
+func searchReplicasLost() ([]Result, error) {
+	f := newFleet(fleetShards, extraPercent, 0.01)
+	f.run(warmSearches, searchRate)
+	for i := range fleetShards {
+		replicas := f.searcher.Catalog.Current().InForce.Bundle.Services[0].Snapshots[0].Shards[i].Replicas
+		f.lost.Store(replicas[i%len(replicas)], ident.TargetID(""))
+	}
+	got := f.run(caseSearches, searchRate)
+	return []Result{
+		{Name: "search_coverage_replicas_lost", Value: got.coverage(), Unit: "ratio", Bound: minLostCoverage},
+		{Name: "search_p99_replicas_lost", Value: got.quantile(0.99).Seconds() * 1000, Unit: "ms", Informative: true},
+		{Name: "search_extra_load_replicas_lost", Value: f.extraShare(), Unit: "ratio", Bound: maxExtraShare, Less: true},
+	}, nil
+}
