Keep overloaded targets apart from failed ones

Cause: a refusal for lack of room counted as a failure.

Change: such a refusal spares the target for 100 ms and says nothing else of it. The queue of the decision log holds 2048 records instead of 4096, about 11 MB.

Tests: TestOverloadedTargetIsSparedBriefly fails with the sparing switched off.

--- a/plugin/logging/logging.go
+++ b/plugin/logging/logging.go
@@ -18,8 +18,8 @@
 )
 
 // decisionCapacity is how many decision records may wait for the writer. The record of a 52-leaf search holds 52 leaf
-// decisions of 104 bytes; at the sampled rate 4096 records are 40 s of searches and take about 22 MB.
-const decisionCapacity = 4096
+// decisions of 104 bytes; 2048 records take about 11 MB, and at the sampled rate they are 20 s of searches.
+const decisionCapacity = 2048
 
 func init() {
 	kernel.Register(kernel.Plugin{Name: "logging", Options: func() fx.Option {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -32,7 +32,7 @@
 	OnlyOne    Reason = "only"
 	LowerScore Reason = "score"
 	Probed     Reason = "probe"
-	// LastResort: every replica that is left failed recently.
+	// LastResort: every replica that is left failed or was overloaded recently.
 	LastResort Reason = "last_resort"
 )
 
@@ -116,9 +116,9 @@
 		return 0, outcome.ReasonColdStart
 	case k.failures > 0 && n.Probe && !now.Before(k.probeAt):
 		return rankProbe, outcome.ReasonNone
-	case k.failures > 0 && n.Kind == outcome.SendHedge:
+	case k.avoided(now) && n.Kind == outcome.SendHedge:
 		return 0, outcome.ReasonNoReplica
-	case k.failures > 0:
+	case k.avoided(now):
 		return rankFailed, outcome.ReasonNone
 	case held != snapshot.Holds && !n.Probe:
 		return rankUnsure, outcome.ReasonNone
@@ -127,6 +127,9 @@
 	}
 }
 
+// avoided reports whether the target failed, or refused for lack of room a moment ago.
+func (k *known) avoided(now time.Time) bool { return k.failures > 0 || now.Before(k.busyUntil) }
+
 // claim takes the one probe that is due; further probes wait until the next one is due.
 func (t *Tracker) claim(id ident.TargetID, now time.Time) bool {
 	s := t.state(id)
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -126,6 +126,19 @@
 	}
 }
 
+// A target without room must be spared for a moment, yet count neither as failed nor as lost to its snapshot.
+func TestOverloadedTargetIsSparedBriefly(t *testing.T) {
+	w := newWorld()
+	w.done("near", outcome.LeafResult{Status: outcome.LeafNotRun, Reason: outcome.ReasonTargetShed, Incarnation: "1"}, time.Millisecond)
+	choice, _ := w.choose(outcome.SendFirst, true, "third")
+	require.Equal(t, ident.TargetID("far"), choice.Target.ID)
+	require.True(t, w.tracker.Usable(w.target("near")))
+	w.clock.Advance(101 * time.Millisecond)
+	choice, _ = w.choose(outcome.SendFirst, false, "third")
+	require.Equal(t, ident.TargetID("near"), choice.Target.ID)
+	require.NotEqual(t, replica.Probed, choice.Reason)
+}
+
 // A draining target must get nothing until it restarts; a target in cold start must get no extra load.
 func TestDrainingAndColdTargets(t *testing.T) {
 	w := newWorld()
--- a/replica/tracker.go
+++ b/replica/tracker.go
@@ -69,6 +69,8 @@
 	failures int
 	probeAt  time.Time
 	silent   int
+	// busyUntil follows a refusal under load. The target has not failed and needs no probe.
+	busyUntil time.Time
 	// drainingUntil bars the target altogether after it said that it is draining.
 	drainingUntil time.Time
 	incarnation   string
@@ -141,9 +143,10 @@
 	case failed:
 		k.fail(now)
 	case overloaded:
-		k.avoid(now, overloadAvoidance)
+		k.busyUntil = now.Add(overloadAvoidance)
 	case draining:
-		k.avoid(now, drainingAvoidance)
+		k.failures = max(k.failures, 1)
+		k.probeAt = now.Add(drainingAvoidance)
 		k.drainingUntil = k.probeAt
 	case neutral:
 	}
@@ -175,13 +178,6 @@
 	k.probeAt = now.Add(wait)
 }
 
-func (k *known) avoid(now time.Time, wait time.Duration) {
-	k.failures = max(k.failures, 1)
-	if until := now.Add(wait); until.After(k.probeAt) {
-		k.probeAt = until
-	}
-}
-
 // score is the expected time of one more request: (in flight + queued) x latency + distance. The request itself
 // counts as in flight. The estimate of a target that has not replied for longer than StaleAfter halves with every
 // further StaleAfter, so that a target that was slow once is tried again.
--- a/search/search_test.go
+++ b/search/search_test.go
@@ -331,6 +331,32 @@
 	}
 }
 
+// A bundle that repartitions the service during a query must not change which shards the query expects.
+func TestRepartitionDuringAQuery(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(3)
+		w.reply = func(_ context.Context, r outcome.LeafRequest, n int) outcome.LeafResult {
+			after(context.Background(), time.Millisecond)
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if w.version == 1 {
+				w.publish(5, func(b *bundle.Bundle) { b.Services[0].Snapshots = b.Services[0].Snapshots[1:] })
+			}
+			if r.Shard == "shard2" && n == 0 {
+				return outcome.LeafRefused(outcome.ReasonDialFailed, "")
+			}
+			return whole(r)
+		}
+		answer := w.search(1)
+		require.Equal(t, outcome.Complete, answer.Outcome)
+		require.Equal(t, ident.SnapshotID("s1"), answer.Snapshot)
+		require.Equal(t, 3, answer.Coverage.Expected)
+		answer = w.search(1)
+		require.Equal(t, ident.SnapshotID("s2"), answer.Snapshot)
+		require.Equal(t, 5, answer.Coverage.Expected)
+	})
+}
+
 // A snapshot that becomes held while queries run must be pinned by later ones, and only by those.
 func TestPinMovesToANewerSnapshot(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
