Pace the return of an availability zone

Cause: a zone that was put back in got its whole share of work at once, whatever its return_seconds said.

Change: the catalog knows which zones return and since when, and carries a return over to later bundles. A choice takes a target of such a zone with a probability that rises from 0 to 1 over return_seconds; otherwise it ranks below the other replicas, and is used only if none is left. Hedges do not use it then.

Tests: with the carry-over switched off TestReturnOfAZoneIsCarriedOver fails, with the rank switched off TestReturningZoneGetsItsShare fails.

--- a/catalog/cache.go
+++ b/catalog/cache.go
@@ -41,10 +41,11 @@
 	defer c.mu.Unlock()
 	// The source is read again under the lock, so that a slow reader does not put an earlier bundle back.
 	force := c.source.Current()
-	if cur := c.current.Load(); cur != nil && cur.InForce == force {
+	cur := c.current.Load()
+	if cur != nil && cur.InForce == force {
 		return cur
 	}
-	next := Build(force)
+	next := Build(force, cur)
 	c.current.Store(next)
 	return next
 }
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -14,6 +14,8 @@
 	// InForce is the bundle that was indexed.
 	InForce  *config.InForce
 	services map[ident.ServiceID]*Service
+	zoneOut  map[ident.Zone]bool
+	returns  map[ident.Zone]zoneReturn
 }
 
 // Service is one service of the bundle.
@@ -44,20 +46,25 @@
 	Barred outcome.Reason
 }
 
-// Build indexes a valid bundle.
-func Build(force *config.InForce) *Catalog {
+// Build indexes a valid bundle. Previous is the catalog that was in force before, or nil.
+func Build(force *config.InForce, previous *Catalog) *Catalog {
 	b := force.Bundle
-	out := map[ident.Zone]bool{}
-	for _, z := range b.Zones {
-		out[z.ID] = z.State != bundle.ZoneIn
-	}
-	c := &Catalog{InForce: force, services: make(map[ident.ServiceID]*Service, len(b.Services))}
+	c := &Catalog{InForce: force, services: make(map[ident.ServiceID]*Service, len(b.Services)), zoneOut: zonesOut(b)}
+	c.returns = returns(c, previous)
 	for i := range b.Services {
-		c.services[b.Services[i].ID] = buildService(&b.Services[i], out)
+		c.services[b.Services[i].ID] = buildService(&b.Services[i], c.zoneOut)
 	}
 	return c
 }
 
+func zonesOut(b *bundle.Bundle) map[ident.Zone]bool {
+	out := make(map[ident.Zone]bool, len(b.Zones))
+	for _, z := range b.Zones {
+		out[z.ID] = z.State != bundle.ZoneIn
+	}
+	return out
+}
+
 func buildService(s *bundle.Service, zoneOut map[ident.Zone]bool) *Service {
 	service := &Service{ID: s.ID, targets: make(map[ident.TargetID]*Target, len(s.Targets))}
 	for i := range s.Targets {
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -3,6 +3,7 @@
 import (
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -39,7 +40,7 @@
 		{bundle.ZoneOut, bundle.TargetServing, outcome.ReasonZoneOut},
 		{bundle.ZoneOut, bundle.TargetLeaving, outcome.ReasonZoneOut},
 	} {
-		built := catalog.Build(inForce(1, c.zone, c.target))
+		built := catalog.Build(inForce(1, c.zone, c.target), nil)
 		require.Equal(t, c.want, built.Barred("subventii", "t1"), "zone %s target %s", c.zone, c.target)
 		require.Equal(t, outcome.ReasonZoneOut, built.Barred("subventii", "t2"), "its zone is not in the bundle")
 		require.Equal(t, outcome.ReasonTargetUnknown, built.Barred("subventii", "t9"))
@@ -59,3 +60,27 @@
 	require.Equal(t, outcome.ReasonZoneOut, cache.Current().Barred("subventii", "t1"))
 	require.Equal(t, outcome.ReasonNone, first.Barred("subventii", "t1"), "a catalog never changes")
 }
+
+// A zone that is put back must get its work back step by step, also when further bundles arrive meanwhile.
+func TestReturnOfAZoneIsCarriedOver(t *testing.T) {
+	start := time.Date(2026, 12, 1, 6, 0, 0, 0, time.UTC)
+	next := func(previous *catalog.Catalog, state bundle.ZoneState, seconds int) *catalog.Catalog {
+		force := inForce(1, state, bundle.TargetServing)
+		force.Bundle.Zones[0].ReturnSeconds, force.Since = 100, start.Add(time.Duration(seconds)*time.Second)
+		return catalog.Build(force, previous)
+	}
+	share := func(c *catalog.Catalog, seconds int) float64 {
+		return c.Returned("lupeni", start.Add(time.Duration(seconds)*time.Second))
+	}
+	first := next(nil, bundle.ZoneIn, 0)
+	require.Equal(t, 1.0, share(first, 1), "a zone that was never out does not return")
+	back := next(next(first, bundle.ZoneOut, 10), bundle.ZoneIn, 20)
+	require.Equal(t, 0.0, share(back, 20))
+	require.Equal(t, 0.5, share(back, 70))
+	later := next(back, bundle.ZoneIn, 60)
+	require.Equal(t, 0.5, share(later, 70), "another bundle does not end the return")
+	require.Equal(t, 1.0, share(later, 120))
+	force := inForce(2, bundle.ZoneIn, bundle.TargetServing)
+	force.Bundle.Zones[0].ReturnSeconds, force.Since, force.Previous = 100, start, inForce(1, bundle.ZoneOut, bundle.TargetServing).Verified
+	require.Equal(t, 0.25, share(catalog.Build(force, nil), 25), "the bundle before is known without its catalog")
+}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -55,6 +55,8 @@
 	rankHealthy
 	// rankUnsure: it is unknown whether the target holds the snapshot.
 	rankUnsure
+	// rankReturning: the target's zone returns to service, and this send is not in the share that it gets already.
+	rankReturning
 	rankFailed
 	rankCount
 )
@@ -76,7 +78,8 @@
 		reason := current.Barred(n.Service, target.ID)
 		r := rankCount
 		if reason == outcome.ReasonNone {
-			r, reason = t.rank(target, n, now)
+			admitted := rand.Float64() < current.Returned(target.Zone, now)
+			r, reason = t.rank(target, n, now, admitted)
 		}
 		if reason == outcome.ReasonNone && r == rankProbe {
 			if t.claim(target.ID, now) {
@@ -101,8 +104,9 @@
 	return t.best(list, best, now), outcome.ReasonNone
 }
 
-// rank places a candidate, or says why it does not serve this send.
-func (t *Tracker) rank(target *catalog.Target, n Need, now time.Time) (rank, outcome.Reason) {
+// rank places a candidate, or says why it does not serve this send. Admitted is false for a target whose zone returns
+// to service, unless this send is in the share that the zone gets already.
+func (t *Tracker) rank(target *catalog.Target, n Need, now time.Time, admitted bool) (rank, outcome.Reason) {
 	k := t.state(target.ID).known.Load()
 	held := t.beliefs.State(target.ID, n.Snapshot)
 	extra := n.Kind != outcome.SendFirst
@@ -114,7 +118,11 @@
 	case extra && k.cold:
 		// A target in cold start gets no hedges or retries.
 		return 0, outcome.ReasonColdStart
-	case k.failures > 0 && n.Probe && !now.Before(k.probeAt):
+	case !admitted && n.Kind == outcome.SendHedge:
+		return 0, outcome.ReasonZoneOut
+	case !admitted && k.failures == 0:
+		return rankReturning, outcome.ReasonNone
+	case k.failures > 0 && n.Probe && admitted && !now.Before(k.probeAt):
 		return rankProbe, outcome.ReasonNone
 	case k.avoided(now) && n.Kind == outcome.SendHedge:
 		return 0, outcome.ReasonNoReplica
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -56,7 +56,7 @@
 	if change != nil {
 		change(b)
 	}
-	w.source.current.Store(&config.InForce{Verified: &bundle.Verified{Bundle: b}})
+	w.source.current.Store(&config.InForce{Verified: &bundle.Verified{Bundle: b}, Since: w.clock.Now()})
 }
 
 func (w *world) target(id ident.TargetID) *catalog.Target {
@@ -126,6 +126,28 @@
 	}
 }
 
+// A zone that returns must not get more than its share at once, unless a shard has no other replica.
+func TestReturningZoneGetsItsShare(t *testing.T) {
+	w := newWorld()
+	near := func(z *bundle.Bundle) { z.Zones[0].ReturnSeconds = 100 }
+	w.publish(func(b *bundle.Bundle) { near(b); b.Zones[0].State = bundle.ZoneOut })
+	_, reason := w.choose(outcome.SendFirst, true, "far", "third")
+	require.Equal(t, outcome.ReasonZoneOut, reason)
+	w.publish(near)
+	for _, c := range []struct{ after, low, high int }{{0, 0, 0}, {25, 150, 350}, {25, 400, 600}, {50, 1000, 1000}} {
+		w.clock.Advance(time.Duration(c.after) * time.Second)
+		chosen := 0
+		for range 1000 {
+			if choice, _ := w.choose(outcome.SendFirst, true, "third"); choice.Target.ID == "near" {
+				chosen++
+			}
+		}
+		require.True(t, c.low <= chosen && chosen <= c.high, "%d of 1000 sends after %d s more", chosen, c.after)
+		choice, _ := w.choose(outcome.SendFirst, true, "far", "third")
+		require.Equal(t, ident.TargetID("near"), choice.Target.ID, "it is the only replica left")
+	}
+}
+
 // A target without room must be spared for a moment, yet count neither as failed nor as lost to its snapshot.
 func TestOverloadedTargetIsSparedBriefly(t *testing.T) {
 	w := newWorld()
--- a/search/search_test.go
+++ b/search/search_test.go
@@ -256,9 +256,9 @@
 func TestSendIsCheckedAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(1)
-		source := &switching{before: catalog.Build(w.Current()), from: 2}
+		source := &switching{before: catalog.Build(w.Current(), nil), from: 2}
 		w.publish(1, func(b *bundle.Bundle) { b.Zones[0].State, b.Zones[1].State = bundle.ZoneOut, bundle.ZoneOut })
-		source.after = catalog.Build(w.Current())
+		source.after = catalog.Build(w.Current(), nil)
 		w.Catalog, w.Replicas = source, replica.New("petrosani", w.Clock, source, w.Beliefs)
 		answer := w.search(0)
 		require.Equal(t, outcome.NotRun, answer.Outcome)
--- a/snapshot/beliefs.go
+++ b/snapshot/beliefs.go
@@ -18,8 +18,8 @@
 	// HeldMaxAge bounds the belief that a target holds a snapshot. A shard in use renews it with each reply.
 	HeldMaxAge = time.Minute
 	// LackedMaxAge bounds the belief that a target lacks a snapshot. It is shorter because targets load new snapshots
-	// while no request goes to them.
-	LackedMaxAge = 5 * time.Second
+	// while no request goes to them. Until it is asked again a target gets no hedges for a snapshot it lacked.
+	LackedMaxAge = time.Second
 )
 
 // State is what is believed of one target and one snapshot.
--- a/snapshot/snapshot_test.go
+++ b/snapshot/snapshot_test.go
@@ -30,7 +30,7 @@
 	for _, id := range []ident.TargetID{"a1", "a2", "b1", "b2", "x1", "y1", "z1"} {
 		b.Services[0].Targets = append(b.Services[0].Targets, bundle.Target{ID: id, Zone: "lupeni", State: bundle.TargetServing})
 	}
-	s, ok := catalog.Build(&config.InForce{Verified: &bundle.Verified{Bundle: b}}).Service("subventii")
+	s, ok := catalog.Build(&config.InForce{Verified: &bundle.Verified{Bundle: b}}, nil).Service("subventii")
 	require.True(t, ok)
 	return s
 }
