--- a/benchmarks/fleet.go
+++ b/benchmarks/fleet.go
@@ -9,14 +9,14 @@
 
 	"teaselbank.example/teaselbank/bundle"
 	"teaselbank.example/teaselbank/ident"
-	"teaselbank.example/teaselbank/standin/fleet"
+	processes "teaselbank.example/teaselbank/standin/fleet"
 )
 
 // Sizes and times of the benchmarks with real processes.
 const (
-	fleetVMs        = 8
-	fleetShards     = 10
-	fleetTimeout    = 2 * time.Minute
+	processVMs      = 8
+	processShards   = 10
+	processTimeout  = 2 * time.Minute
 	warmUpTime      = 4 * time.Second
 	calmTime        = 3 * time.Second
 	zoneTime        = 4 * time.Second
@@ -32,7 +32,7 @@
 	restartSettle   = 300 * time.Millisecond
 )
 
-var fleetZones = []ident.Zone{"petrosani", "lupeni", "vulcan"}
+var processZones = []ident.Zone{"petrosani", "lupeni", "vulcan"}
 
 func init() {
 	register("fleet_configuration", fleetConfiguration)
@@ -41,8 +41,8 @@
 }
 
 // withFleet runs f on a fleet of eight daemons and thirty targets, each shard in every zone.
-func withFleet(f func(ctx context.Context, fl *fleet.Fleet) ([]Result, error)) (results []Result, err error) {
-	ctx, cancel := context.WithTimeout(context.Background(), fleetTimeout)
+func withFleet(f func(ctx context.Context, fl *processes.Fleet) ([]Result, error)) (results []Result, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), processTimeout)
 	defer cancel()
 	dir, err := os.MkdirTemp("", "teaselbank-bench-")
 	if err != nil {
@@ -52,10 +52,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("programs: %w", err)
 	}
-	fl, err := fleet.Start(ctx, fleet.Options{
-		BinDir: bin, Dir: dir, Zones: fleetZones, VMs: fleetVMs, PlatformLag: time.Second,
+	fl, err := processes.Start(ctx, processes.Options{
+		BinDir: bin, Dir: dir, Zones: processZones, VMs: processVMs, PlatformLag: time.Second,
 		DaemonArgs: []string{"--balancer-delay=" + balancerDelay.String(), "--drain-timeout=10s", "--peer-grace=3s"},
-		Services: []fleet.ServiceSpec{{ID: "dispecerat", Shards: fleetShards, Zones: fleetZones, Slots: 6, ColdSlots: 2,
+		Services: []processes.ServiceSpec{{ID: "dispecerat", Shards: processShards, Zones: processZones, Slots: 6, ColdSlots: 2,
 			Connections: 50, TargetArgs: []string{"--service-time=3ms", fmt.Sprintf("--cold-requests=%d", coldRequests)}}},
 	})
 	if err != nil {
@@ -69,15 +69,15 @@
 	return f(ctx, fl)
 }
 
-func loadFor(ctx context.Context, fl *fleet.Fleet, d time.Duration) fleet.LoadResult {
+func loadFor(ctx context.Context, fl *processes.Fleet, d time.Duration) processes.LoadResult {
 	ctx, cancel := context.WithTimeout(ctx, d)
 	defer cancel()
-	return fleet.Load{Service: "dispecerat", Workers: loadWorkers, Pause: loadPause, DeadlineMillis: loadDeadline}.Run(ctx, fl)
+	return processes.Load{Service: "dispecerat", Workers: loadWorkers, Pause: loadPause, DeadlineMillis: loadDeadline}.Run(ctx, fl)
 }
 
 // fleetConfiguration measures the time from publication until the last of eight processes has a bundle in force.
 func fleetConfiguration() ([]Result, error) {
-	return withFleet(func(ctx context.Context, fl *fleet.Fleet) ([]Result, error) {
+	return withFleet(func(ctx context.Context, fl *processes.Fleet) ([]Result, error) {
 		var worst time.Duration
 		for range configChanges {
 			b := fl.Bundle()
@@ -85,7 +85,7 @@
 			if err := fl.Publish(ctx, b); err != nil {
 				return nil, err
 			}
-			if err := fleet.WaitFor(ctx, "version in force everywhere", func() bool { return allAt(ctx, fl, b) }); err != nil {
+			if err := processes.WaitFor(ctx, "version in force everywhere", func() bool { return allAt(ctx, fl, b) }); err != nil {
 				return nil, err
 			}
 			worst = max(worst, time.Since(start))
@@ -94,14 +94,14 @@
 	})
 }
 
-func allAt(ctx context.Context, fl *fleet.Fleet, b *bundle.Bundle) bool {
+func allAt(ctx context.Context, fl *processes.Fleet, b *bundle.Bundle) bool {
 	for _, d := range fl.Daemons {
 		var status struct {
 			Config *struct {
 				Version uint64 `json:"version"`
 			} `json:"config"`
 		}
-		if _, err := fleet.Get(ctx, "http://"+d.Ops+"/v1/status", &status); err != nil || status.Config == nil || status.Config.Version < b.Version {
+		if _, err := processes.Get(ctx, "http://"+d.Ops+"/v1/status", &status); err != nil || status.Config == nil || status.Config.Version < b.Version {
 			return false
 		}
 	}
@@ -110,13 +110,13 @@
 
 // fleetRollingRestart restarts all daemons in turn under load and counts requests that ended without an answer.
 func fleetRollingRestart() ([]Result, error) {
-	return withFleet(func(ctx context.Context, fl *fleet.Fleet) ([]Result, error) {
+	return withFleet(func(ctx context.Context, fl *processes.Fleet) ([]Result, error) {
 		loadFor(ctx, fl, warmUpTime)
 		calm := loadFor(ctx, fl, calmTime)
 		loadCtx, stop := context.WithCancel(ctx)
-		done := make(chan fleet.LoadResult, 1)
+		done := make(chan processes.LoadResult, 1)
 		go func() {
-			done <- fleet.Load{Service: "dispecerat", Workers: loadWorkers, Pause: loadPause, DeadlineMillis: loadDeadline}.Run(loadCtx, fl)
+			done <- processes.Load{Service: "dispecerat", Workers: loadWorkers, Pause: loadPause, DeadlineMillis: loadDeadline}.Run(loadCtx, fl)
 		}()
 		err := restartAll(ctx, fl)
 		stop()
@@ -133,7 +133,7 @@
 	})
 }
 
-func restartAll(ctx context.Context, fl *fleet.Fleet) error {
+func restartAll(ctx context.Context, fl *processes.Fleet) error {
 	for _, d := range fl.Daemons {
 		if err := d.Process.Terminate(ctx); err != nil {
 			return err
@@ -141,7 +141,7 @@
 		if err := fl.StartDaemon(d); err != nil {
 			return err
 		}
-		if err := fleet.WaitFor(ctx, string(d.VM)+" ready", d.Ready); err != nil {
+		if err := processes.WaitFor(ctx, string(d.VM)+" ready", d.Ready); err != nil {
 			return err
 		}
 		pause(ctx, restartSettle)
@@ -158,10 +158,10 @@
 
 // fleetZone takes a zone out under load, restarts its targets so that they are cold, and puts it back.
 func fleetZone() ([]Result, error) {
-	return withFleet(func(ctx context.Context, fl *fleet.Fleet) ([]Result, error) {
+	return withFleet(func(ctx context.Context, fl *processes.Fleet) ([]Result, error) {
 		loadFor(ctx, fl, warmUpTime)
 		calm := loadFor(ctx, fl, calmTime)
-		zone := fleetZones[1]
+		zone := processZones[1]
 		out, err := fl.SetZone(ctx, fl.Bundle(), zone, bundle.ZoneOut)
 		if err != nil {
 			return nil, err
@@ -199,7 +199,7 @@
 	})
 }
 
-func zoneStats(ctx context.Context, fl *fleet.Fleet, zone ident.Zone) (started, coldOverload int, err error) {
+func zoneStats(ctx context.Context, fl *processes.Fleet, zone ident.Zone) (started, coldOverload int, err error) {
 	for _, t := range fl.Targets {
 		if t.Zone != zone {
 			continue
@@ -208,7 +208,7 @@
 			Started      int `json:"started"`
 			ColdOverload int `json:"cold_overload"`
 		}
-		if _, err := fleet.Get(ctx, "http://"+t.Address+"/admin/stats", &s); err != nil {
+		if _, err := processes.Get(ctx, "http://"+t.Address+"/admin/stats", &s); err != nil {
 			return 0, 0, err
 		}
 		started, coldOverload = started+s.Started, coldOverload+s.ColdOverload
@@ -216,12 +216,12 @@
 	return started, coldOverload, nil
 }
 
-func restartTargets(ctx context.Context, fl *fleet.Fleet, zone ident.Zone) error {
+func restartTargets(ctx context.Context, fl *processes.Fleet, zone ident.Zone) error {
 	for _, t := range fl.Targets {
 		if t.Zone != zone {
 			continue
 		}
-		if _, err := fleet.Post(ctx, "http://"+t.Address+"/admin/restart", nil, nil); err != nil {
+		if _, err := processes.Post(ctx, "http://"+t.Address+"/admin/restart", nil, nil); err != nil {
 			return err
 		}
 	}
--- a/benchmarks/fleet_failures.go
+++ b/benchmarks/fleet_failures.go
@@ -5,7 +5,7 @@
 	"syscall"
 	"time"
 
-	"teaselbank.example/teaselbank/standin/fleet"
+	processes "teaselbank.example/teaselbank/standin/fleet"
 )
 
 // Times of the failure benchmarks.
@@ -24,11 +24,11 @@
 }
 
 // during runs a load while f causes a failure, and returns the load's counts once f has returned.
-func during(ctx context.Context, fl *fleet.Fleet, f func() error) (fleet.LoadResult, error) {
+func during(ctx context.Context, fl *processes.Fleet, f func() error) (processes.LoadResult, error) {
 	loadCtx, stop := context.WithCancel(ctx)
-	done := make(chan fleet.LoadResult, 1)
+	done := make(chan processes.LoadResult, 1)
 	go func() {
-		done <- fleet.Load{Service: "dispecerat", Workers: loadWorkers, Pause: loadPause, DeadlineMillis: loadDeadline}.Run(loadCtx, fl)
+		done <- processes.Load{Service: "dispecerat", Workers: loadWorkers, Pause: loadPause, DeadlineMillis: loadDeadline}.Run(loadCtx, fl)
 	}()
 	err := f()
 	stop()
@@ -38,7 +38,7 @@
 // fleetKillVM kills one VM under load. Requests in flight at that VM are lost with it; those through the others must
 // still be answered in full, from replicas that other owners serve.
 func fleetKillVM() ([]Result, error) {
-	return withFleet(func(ctx context.Context, fl *fleet.Fleet) ([]Result, error) {
+	return withFleet(func(ctx context.Context, fl *processes.Fleet) ([]Result, error) {
 		loadFor(ctx, fl, warmUpTime)
 		victim := fl.Daemons[1]
 		r, err := during(ctx, fl, func() error {
@@ -66,7 +66,7 @@
 // fleetPauseVM freezes one VM for 5 s under load and wakes it: what it sends after it woke must not overload a target
 // whose ownership has moved.
 func fleetPauseVM() ([]Result, error) {
-	return withFleet(func(ctx context.Context, fl *fleet.Fleet) ([]Result, error) {
+	return withFleet(func(ctx context.Context, fl *processes.Fleet) ([]Result, error) {
 		loadFor(ctx, fl, warmUpTime)
 		victim := fl.Daemons[1]
 		_, err := during(ctx, fl, func() error {
@@ -93,7 +93,7 @@
 
 // fleetPlatformDown takes the platform away, restarts one VM, and measures that it serves from its peers' bundle.
 func fleetPlatformDown() ([]Result, error) {
-	return withFleet(func(ctx context.Context, fl *fleet.Fleet) ([]Result, error) {
+	return withFleet(func(ctx context.Context, fl *processes.Fleet) ([]Result, error) {
 		loadFor(ctx, fl, warmUpTime)
 		if err := fl.SetPlatformDown(ctx, true); err != nil {
 			return nil, err
@@ -112,13 +112,13 @@
 	})
 }
 
-func slotOverfull(ctx context.Context, fl *fleet.Fleet) (int, error) {
+func slotOverfull(ctx context.Context, fl *processes.Fleet) (int, error) {
 	total := 0
 	for _, t := range fl.Targets {
 		var s struct {
 			Overfull int `json:"overfull"`
 		}
-		if _, err := fleet.Get(ctx, "http://"+t.Address+"/admin/stats", &s); err != nil {
+		if _, err := processes.Get(ctx, "http://"+t.Address+"/admin/stats", &s); err != nil {
 			return 0, err
 		}
 		total += s.Overfull
--- /dev/null
+++ b/benchmarks/search_cost.go
@@ -0,0 +1,134 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"syscall"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"teaselbank.example/teaselbank/decisionlog"
+)
+
+// costShards are the fan-outs whose cost is measured; 52 is that of the design size.
+var costShards = []int{13, 26, 52, 104}
+
+// maxCostGrowth bounds the cost of a leaf at 104 leaves over that at 13: a search must not grow faster than its
+// fan-out by more than scheduling noise.
+const maxCostGrowth = 1.5
+
+func init() {
+	register("search_cost", searchCost)
+	register("search_decision_line", searchDecisionLine)
+}
+
+// Rounds of the cost measurement. The fan-outs take turns and the cheapest round counts, so that other work on the
+// machine disturbs them alike and little.
+const (
+	costRounds   = 7
+	costSearches = 300
+)
+
+// cost is what one search takes.
+type cost struct {
+	processor time.Duration
+	allocs    float64
+	bytes     float64
+}
+
+// searchCost measures the processor time and the allocations of a search whose leaves answer at once, on one
+// processor. The processor time is that of the process, so it includes the collection of garbage but no waiting.
+func searchCost() ([]Result, error) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	fleets, costs := make([]*fleet, len(costShards)), make([]cost, len(costShards))
+	for i, shards := range costShards {
+		fleets[i] = newFleet(shards, extraPercent, 0)
+		fleets[i].instant = true
+	}
+	for range costRounds {
+		for i, f := range fleets {
+			c, err := f.cost()
+			if err != nil {
+				return nil, err
+			}
+			if costs[i].processor == 0 || c.processor < costs[i].processor {
+				costs[i] = c
+			}
+		}
+	}
+	var results []Result
+	perLeaf := make([]float64, len(costShards))
+	for i, shards := range costShards {
+		c := costs[i]
+		perLeaf[i] = float64(c.processor) / float64(shards)
+		results = append(results,
+			Result{Name: fmt.Sprintf("search_cost_%d_leaves", shards), Value: float64(c.processor.Nanoseconds()) / 1000, Unit: "us", Informative: true},
+			Result{Name: fmt.Sprintf("search_allocs_%d_leaves", shards), Value: c.allocs, Unit: "allocs", Informative: true},
+			Result{Name: fmt.Sprintf("search_bytes_%d_leaves", shards), Value: c.bytes, Unit: "B", Informative: true})
+	}
+	growth := perLeaf[len(perLeaf)-1] / perLeaf[0]
+	return append(results, Result{Name: "search_cost_per_leaf_104_over_13", Value: growth, Unit: "ratio", Bound: maxCostGrowth, Less: true}), nil
+}
+
+// cost runs one round.
+func (f *fleet) cost() (cost, error) {
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	start, err := processorTime()
+	if err != nil {
+		return cost{}, err
+	}
+	for range costSearches {
+		f.search()
+	}
+	end, err := processorTime()
+	runtime.ReadMemStats(&after)
+	return cost{
+		processor: (end - start) / costSearches,
+		allocs:    float64(after.Mallocs-before.Mallocs) / costSearches,
+		bytes:     float64(after.TotalAlloc-before.TotalAlloc) / costSearches,
+	}, err
+}
+
+// processorTime returns the user and system time of the process.
+func processorTime() (time.Duration, error) {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0, fmt.Errorf("processor time: %w", err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano()), nil
+}
+
+// countedLines counts lines and their bytes.
+type countedLines struct{ lines, bytes int }
+
+// Write counts one line.
+func (c *countedLines) Write(p []byte) (int, error) {
+	c.lines++
+	c.bytes += len(p)
+	return len(p), nil
+}
+
+// lineSearches is how many searches the length of a decision line is taken from; no line of them is sampled out.
+const lineSearches = 200
+
+// searchDecisionLine measures the length of the one decision line of a 52-leaf search.
+func searchDecisionLine() ([]Result, error) {
+	f := newFleet(fleetShards, extraPercent, 0)
+	f.instant = true
+	var out countedLines
+	queue := decisionlog.New(log.NewWithOptions(&out, log.Options{Formatter: log.LogfmtFormatter}), lineSearches, decisionlog.WithRate(lineSearches))
+	f.searcher.Decisions = queue
+	for range lineSearches {
+		f.search()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	queue.Run(ctx)
+	if out.lines != lineSearches {
+		return nil, fmt.Errorf("%d lines written, want %d", out.lines, lineSearches)
+	}
+	return []Result{{Name: "search_decision_line", Value: float64(out.bytes) / float64(out.lines), Unit: "B", Informative: true}}, nil
+}
