Derive owners from the budget and bound their load

Cause: every target had one owner whatever its budget, and rendezvous hashing alone gave some VMs several times the average number of targets.

An owner takes at most ceil(1.25 x average) targets. Targets are placed in the order of their hashes, so one more or one less leaves the others as they are. If the bound leaves no room for a further owner of a target, the target has fewer owners, which share its whole budget. Targets of a zone without usable VMs go to all usable VMs, below the bound over the whole fleet. Plan.Without names the owners before a VM joined.

Without the load bound TestPlanKeepsBudgetsAndLoad fails (load 2, bound 1); with remainders given to every owner it fails on the sum of the shares.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -34,6 +34,8 @@
 	ConfigVersion uint64
 	Generation    uint64
 	targets       map[ident.TargetID]*Target
+	view          *membership.View
+	bundle        *bundle.Bundle
 }
 
 // Target returns the target of that id.
@@ -49,6 +51,16 @@
 	}
 }
 
+// View returns the view the plan was made from.
+func (p *Plan) View() *membership.View { return p.view }
+
+// Without returns the plan as it would be without one VM: it names the owners that the VM takes over from when it joins.
+func (p *Plan) Without(vm ident.VMID) *Plan {
+	view := *p.view
+	view.Members = slices.DeleteFunc(slices.Clone(p.view.Members), func(m membership.Member) bool { return m.ID == vm })
+	return NewPlan(&view, p.bundle)
+}
+
 // OwnedBy returns the share the VM holds of the target.
 func (t *Target) OwnedBy(vm ident.VMID) (Owner, bool) {
 	for _, o := range t.Owners {
@@ -61,26 +73,30 @@
 
 // NewPlan assigns owners to every target of the bundle.
 func NewPlan(view *membership.View, b *bundle.Bundle) *Plan {
-	p := &Plan{ConfigVersion: b.Version, Generation: view.Generation, targets: map[ident.TargetID]*Target{}}
+	count := 0
 	for i := range b.Services {
-		s := &b.Services[i]
-		for _, t := range s.Targets {
-			p.targets[t.ID] = &Target{Target: t, Service: s.ID, Owners: owners(view, s, t)}
-		}
+		count += len(b.Services[i].Targets)
 	}
+	p := &Plan{ConfigVersion: b.Version, Generation: view.Generation, view: view, bundle: b,
+		targets: make(map[ident.TargetID]*Target, count)}
+	assign(view, p.requests(b, count))
 	return p
 }
 
-func owners(view *membership.View, s *bundle.Service, t bundle.Target) []Owner {
-	candidates := view.UsableIn(t.Zone)
-	if len(candidates) == 0 {
-		candidates = view.UsableIn("")
-	}
-	ranked := Rank(string(t.ID), candidates)
-	if len(ranked) == 0 {
-		return nil
+// requests lists the targets of the bundle with their budgets.
+func (p *Plan) requests(b *bundle.Bundle, count int) []request {
+	list, targets := make([]request, 0, count), make([]Target, 0, count)
+	for i := range b.Services {
+		s := &b.Services[i]
+		for _, t := range s.Targets {
+			targets = append(targets, Target{Target: t, Service: s.ID})
+			target := &targets[len(targets)-1]
+			p.targets[t.ID] = target
+			list = append(list, request{target: target, hash: xxhash.Sum64String(string(t.ID)),
+				budget: Owner{Slots: s.Slots, ColdSlots: s.ColdSlots, Connections: s.Connections}})
+		}
 	}
-	return []Owner{{VM: ranked[0].ID, Slots: s.Slots, ColdSlots: s.ColdSlots, Connections: s.Connections}}
+	return list
 }
 
 // Rank orders members by rendezvous hashing for a key, highest first.
