Schedule slots by deadline, infer cold start and hand ownership over

Cause: a gate was a semaphore. It ignored cold start and deadlines, ran queued work for zones that were taken out, and a change of owner gave both owners all slots.

Change: - Waiting requests stand in a bounded queue by deadline. A request that cannot finish in time, by the learned baseline of the target, is refused as not run; an idle target runs it anyway, so a wrong estimate corrects itself. - Cold start is inferred from a changed incarnation, sheds, runs of slow replies and failed connections. The limit starts at cold_slots and doubles after 32 successes for each slot; hedges and retries are refused until it is warm. - Zone, target state, stale view and ownership are checked at admission and again when a slot is granted. A zone that returns gets its slots linearly over return_seconds. - A new owner asks the owners that lose the target (GateService.Handover) and counts what they still run. Without an answer it waits TakeoverDelay and starts cold. A previous owner vouches only if neither its plan nor an earlier handover names a third VM; otherwise the new owner waits. - Connections open ahead of need, at most 50/s for all targets of a VM, and never above the share.

With several owners of one target, a membership change costs the 2 s delay, because a handover request does not say which share is meant; today's targets have one owner each.

--- /dev/null
+++ b/gate/coldstart.go
@@ -0,0 +1,160 @@
+package gate
+
+import (
+	"time"
+
+	"teaselbank.example/teaselbank/outcome"
+)
+
+// Thresholds of the cold-start state machine.
+const (
+	// warmRun is how many successes at normal latency, for each slot of the limit, double the limit. A run has to be
+	// long enough that a target which fails under a higher limit shows it before the next doubling.
+	warmRun = 32
+	// normalFactor and slowFactor are multiples of the baseline: a reply up to the first is normal, one beyond the
+	// second is slow.
+	normalFactor = 2
+	slowFactor   = 4
+	// slowRun is how many slow replies in a row mean a cold start; stragglers of 1 in 100 rarely come three in a row.
+	slowRun = 3
+	// Shifts of the baseline's moving average: it follows lower latency at 1/4, and higher at 1/64, so that a slow
+	// spell does not become the norm before it is noticed, while a lasting change does in the end.
+	baselineDownShift = 2
+	baselineUpShift   = 6
+)
+
+// coldStart infers from replies whether a target is in cold start, and how many requests it bears at once.
+type coldStart struct {
+	slots     int
+	coldSlots int
+
+	cold  bool
+	limit int
+	// successes counts the run of successes at normal latency since the limit last changed.
+	successes int
+	slow      int
+	baseline  time.Duration
+	// incarnation is the target's last known one. Late replies of the previous one are ignored: they would look like
+	// another restart.
+	incarnation string
+	previous    string
+}
+
+// newColdStart returns a state that takes the target to be cold, which claims the least.
+func newColdStart(slots, coldSlots int) coldStart {
+	return coldStart{slots: slots, coldSlots: coldSlots, cold: true, limit: min(slots, coldSlots)}
+}
+
+// resize changes the budgets. A smaller budget in cold start begins again at the cold-start limit, because the sum over
+// all owners has to stay within the target's cold slots.
+func (c *coldStart) resize(slots, coldSlots int) {
+	shrinks := slots < c.slots || coldSlots < c.coldSlots
+	c.slots, c.coldSlots = slots, coldSlots
+	switch {
+	case !c.cold:
+		c.limit = slots
+	case shrinks || c.limit < min(slots, coldSlots):
+		c.limit, c.successes = min(slots, coldSlots), 0
+	}
+}
+
+// observe draws conclusions from one reply or failure; elapsed is the time the slot was held.
+func (c *coldStart) observe(res outcome.LeafResult, elapsed time.Duration) {
+	if res.Incarnation != "" {
+		if res.Incarnation == c.previous {
+			return
+		}
+		if c.changed(res.Incarnation) {
+			return
+		}
+	}
+	switch res.Reason {
+	case outcome.ReasonTargetShed, outcome.ReasonConnectionLimit:
+		c.shed()
+	case outcome.ReasonConnectionLost, outcome.ReasonDialFailed, outcome.ReasonTruncated:
+		c.fall()
+	case outcome.ReasonDeadline:
+		// A target's own refusal says nothing of its latency.
+		if res.Status == outcome.LeafUnknown {
+			c.latency(elapsed, false)
+		}
+	default:
+		if res.Status != outcome.LeafOK {
+			return
+		}
+		if res.Service > 0 {
+			elapsed = res.Service
+		}
+		c.latency(elapsed, true)
+	}
+}
+
+// changed notes the incarnation, and reports whether another process answers now.
+func (c *coldStart) changed(incarnation string) bool {
+	if incarnation == c.incarnation {
+		return false
+	}
+	known := c.incarnation != ""
+	c.previous, c.incarnation = c.incarnation, incarnation
+	if known {
+		c.fall()
+	}
+	return known
+}
+
+// fall puts the target into cold start.
+func (c *coldStart) fall() {
+	c.cold, c.limit, c.successes, c.slow = true, min(c.slots, c.coldSlots), 0, 0
+}
+
+// shed halves the limit; at the cold-start limit the target counts as cold.
+func (c *coldStart) shed() {
+	c.successes = 0
+	c.cold = true
+	c.limit = max(c.limit/2, min(c.slots, c.coldSlots))
+}
+
+func (c *coldStart) latency(d time.Duration, ok bool) {
+	if c.baseline == 0 {
+		if ok {
+			c.baseline = max(d, 1)
+			c.succeed()
+		}
+		return
+	}
+	switch {
+	case d > slowFactor*c.baseline:
+		c.slow++
+		c.successes = 0
+		if c.slow >= slowRun {
+			c.fall()
+		}
+	case ok && d <= normalFactor*c.baseline:
+		c.slow = 0
+		c.succeed()
+	default:
+		c.slow, c.successes = 0, 0
+	}
+	c.learn(d)
+}
+
+func (c *coldStart) learn(d time.Duration) {
+	if d < c.baseline {
+		c.baseline -= (c.baseline - d) >> baselineDownShift
+		return
+	}
+	c.baseline += (min(d, normalFactor*c.baseline) - c.baseline) >> baselineUpShift
+}
+
+func (c *coldStart) succeed() {
+	if !c.cold {
+		return
+	}
+	c.successes++
+	if c.successes < warmRun*c.limit {
+		return
+	}
+	c.successes = 0
+	c.limit = min(2*c.limit, c.slots)
+	c.cold = c.limit < c.slots
+}
--- /dev/null
+++ b/gate/connections_test.go
@@ -0,0 +1,103 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+)
+
+// dialer counts what it opens.
+type dialer struct {
+	mu    sync.Mutex
+	dials int
+	open  int
+	fail  error
+}
+
+type countedConn struct {
+	net.Conn
+	d *dialer
+}
+
+func (c countedConn) Close() error {
+	c.d.mu.Lock()
+	defer c.d.mu.Unlock()
+	c.d.open--
+	return nil
+}
+
+func (d *dialer) dial(context.Context, string, string) (net.Conn, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.dials++
+	if d.fail != nil {
+		return nil, d.fail
+	}
+	d.open++
+	return countedConn{nil, d}, nil
+}
+
+// Guards against a storm of new connections after an owner change, and connections above the share.
+func TestConnectionsOpenAtABoundedRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock, d := clockwork.NewFakeClock(), &dialer{}
+		opener := NewOpener(clock, d.dial)
+		var pools []*Pool
+		for range 30 {
+			p := opener.NewPool("127.0.0.1:1", 4)
+			p.Hold(4, 6)
+			pools = append(pools, p)
+		}
+		synctest.Wait()
+		for second := range 3 {
+			require.LessOrEqual(t, d.dials, 1+second*ConnectRate)
+			for range 100 {
+				clock.Advance(time.Second / 100)
+				synctest.Wait()
+			}
+		}
+		require.Equal(t, 120, d.open, "each pool holds its share, and no more")
+		for _, p := range pools {
+			p.Close()
+		}
+		require.Zero(t, d.open)
+	})
+}
+
+// Guards against a dial that waits although a connection is ready, one that exceeds the limit, and one that waits for a
+// failed connection.
+func TestPoolServesDials(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock, d := clockwork.NewFakeClock(), &dialer{}
+		p := NewOpener(clock, d.dial).NewPool("127.0.0.1:1", 1)
+		p.Hold(1, 1)
+		synctest.Wait()
+		first, err := p.Dial(t.Context(), "tcp", "")
+		require.NoError(t, err)
+		ctx, cancel := context.WithCancel(t.Context())
+		second := make(chan error, 1)
+		go func() {
+			_, err := p.Dial(ctx, "tcp", "")
+			second <- err
+		}()
+		clock.Advance(time.Second)
+		synctest.Wait()
+		require.Equal(t, 1, d.dials)
+		cancel()
+		require.ErrorIs(t, <-second, context.Canceled)
+		d.fail = errors.New("refused")
+		require.NoError(t, first.Close())
+		synctest.Wait()
+		require.Equal(t, 2, d.dials, "a refused connection is not tried in a loop")
+		clock.Advance(time.Second)
+		_, err = p.Dial(t.Context(), "tcp", "")
+		require.ErrorIs(t, err, d.fail)
+	})
+}
--- /dev/null
+++ b/gate/handover_test.go
@@ -0,0 +1,105 @@
+package gate
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"teaselbank.example/teaselbank/bundle"
+	"teaselbank.example/teaselbank/gen/teaselbank/peer/v1/peerv1connect"
+	"teaselbank.example/teaselbank/ident"
+	"teaselbank.example/teaselbank/membership"
+	"teaselbank.example/teaselbank/outcome"
+)
+
+// Guards against a gate that tells a successor to start while a third VM may hold the share, and against a share that
+// stays away, or comes back warm, when the plan does not follow the successor.
+func TestHandoverVouchesOnlyForItself(t *testing.T) {
+	fresh := func() *bench { return newBench(t, Limits{Slots: 2, ColdSlots: 1, Queue: 4}) }
+	b := fresh()
+	require.False(t, b.handOver("vm-x", false).Released, "the plan names a third VM")
+	require.Equal(t, granted, b.verdict(b.ask(outcome.SendFirst, time.Second)), "and nothing changes")
+	require.Equal(t, State{Target: "t1", InFlight: 1, Limit: 1, Cold: true, Released: true}, b.handOver("vm-x", true))
+	require.True(t, b.handOver("vm-x", true).Released)
+	b.warm(time.Millisecond)
+	require.False(t, b.handOver("vm-y", true).Released, "vm-x may hold the share")
+	require.Equal(t, outcome.ReasonNotOwner, b.verdict(b.ask(outcome.SendFirst, time.Second)))
+	b.clock.Advance(TakeoverDelay)
+	b.endDelay()
+	b.reply(ok("i1"), time.Millisecond)
+	require.Equal(t, granted, b.verdict(b.ask(outcome.SendFirst, time.Second)))
+	require.True(t, b.cold.cold)
+
+	b = fresh()
+	b.release()
+	b.takeOver(b.limits, nil)
+	require.False(t, b.handOver("vm-x", true).Released, "an unknown owner may still send")
+	b.release()
+	b.takeOver(b.limits, []ident.VMID{"vm-p"})
+	require.False(t, b.handOver("vm-x", true).Released, "vm-p may still send")
+	b.release()
+	require.False(t, b.handOver("vm-x", true).Released, "the takeover never ended")
+}
+
+// Guards against a handover that loses a field on the wire, or claims success when the peer is not reachable.
+func TestHandoverOverTheWire(t *testing.T) {
+	w := newWorld(t.Context(), 1, 6, 2)
+	w.see(0, 1, membership.Dead)
+	gate := (*w.sets[0].gates.Load())["t1"]
+	gate.endDelay()
+	gate.owner.stage, gate.running, gate.cold.incarnation = owned, 3, "i7"
+	path, h := peerv1connect.NewGateServiceHandler(NewServer(w.sets[0]))
+	mux := http.NewServeMux()
+	mux.Handle(path, h)
+	server := httptest.NewServer(mux)
+	client := NewClient(server.Client())
+	address := server.Listener.Addr().String()
+	states, err := client.Handover(t.Context(), address, "vm-x", []ident.TargetID{"t1", "t2"})
+	require.NoError(t, err)
+	require.Equal(t, []State{{Target: "t1", InFlight: 3, Limit: 2, Cold: true, Incarnation: "i7", Released: true}}, states)
+	server.Close()
+	_, err = client.Handover(context.Background(), address, "vm-x", []ident.TargetID{"t1"})
+	require.Error(t, err)
+}
+
+type fixedView struct{ view *membership.View }
+
+func (f fixedView) View() *membership.View { return f.view }
+
+// Guards against work to a zone that is out, an unknown zone, a leaving target or under a stale view, and against a
+// return whose pace a later bundle resets.
+func TestPolicy(t *testing.T) {
+	now := time.Unix(1000, 0)
+	view := &membership.View{}
+	p := NewPolicy(fixedView{view})
+	b := &bundle.Bundle{
+		Zones: []bundle.Zone{{ID: "z", State: bundle.ZoneOut, ReturnSeconds: 100}},
+		Services: []bundle.Service{{Targets: []bundle.Target{{ID: "in-z", Zone: "z", State: bundle.TargetServing},
+			{ID: "leaving", Zone: "z", State: bundle.TargetLeaving}, {ID: "nowhere", Zone: "y", State: bundle.TargetServing}}}},
+	}
+	check := func(target ident.TargetID, share float64, reason outcome.Reason) {
+		t.Helper()
+		s, r := p.Permit(target, now)
+		require.Equal(t, reason, r)
+		require.InDelta(t, share, s, 1e-9)
+	}
+	check("in-z", 0, outcome.ReasonTargetUnknown)
+	p.Update(b, now)
+	check("in-z", 0, outcome.ReasonZoneOut)
+	check("nowhere", 0, outcome.ReasonZoneOut)
+	b.Zones[0].State = bundle.ZoneIn
+	p.Update(b, now)
+	check("leaving", 0, outcome.ReasonTargetLeaving)
+	check("in-z", 0, outcome.ReasonNone)
+	now = now.Add(50 * time.Second)
+	p.Update(b, now)
+	check("in-z", 0.5, outcome.ReasonNone)
+	now = now.Add(50 * time.Second)
+	check("in-z", 1, outcome.ReasonNone)
+	view.Stale = true
+	check("in-z", 0, outcome.ReasonStaleView)
+}
--- a/plugin/placement/placement.go
+++ b/plugin/placement/placement.go
@@ -3,42 +3,58 @@
 package placement
 
 import (
+	"context"
+	"net/http"
 	"sync"
 	"sync/atomic"
 
 	"github.com/charmbracelet/log"
+	"github.com/jonboulle/clockwork"
 	"go.uber.org/fx"
 
 	"teaselbank.example/teaselbank/config"
 	"teaselbank.example/teaselbank/gate"
+	"teaselbank.example/teaselbank/gen/teaselbank/peer/v1/peerv1connect"
 	"teaselbank.example/teaselbank/ident"
 	"teaselbank.example/teaselbank/kernel"
 	"teaselbank.example/teaselbank/membership"
 	"teaselbank.example/teaselbank/placement"
 	viewplugin "teaselbank.example/teaselbank/plugin/membership"
+	"teaselbank.example/teaselbank/plugin/peerapi"
 	"teaselbank.example/teaselbank/relay"
 	"teaselbank.example/teaselbank/settings"
-	"teaselbank.example/teaselbank/targetclient"
 )
 
 func init() {
 	kernel.Register(kernel.Plugin{Name: "placement", Options: func() fx.Option {
 		return fx.Options(
-			fx.Provide(newTargetClient, newGates, newKeeper),
+			fx.Provide(newPolicy, newTargets, newGates, newKeeper, gate.NewServer),
+			fx.Provide(func(c *http.Client) gate.Predecessor { return gate.NewClient(c) }),
 			fx.Provide(func(k *Keeper) relay.Planner { return k }),
 			fx.Provide(func(g *gate.Set) relay.Local { return g }),
+			fx.Provide(fx.Annotate(newHandler, fx.ResultTags(peerapi.Group))),
 			fx.Invoke(func(k *Keeper, store *config.Store, table *viewplugin.Table) {
-				store.OnChange(func(*config.InForce) { k.rebuild() })
+				store.OnChange(k.follow)
 				table.OnChange(func(*membership.View) { k.rebuild() })
 			}),
 		)
 	}})
 }
 
-func newTargetClient() *targetclient.Client { return targetclient.New(targetclient.Options{}) }
+func newPolicy(viewer membership.Viewer) *gate.Policy { return gate.NewPolicy(viewer) }
 
-func newGates(s *settings.Settings, c *targetclient.Client) *gate.Set {
-	return gate.NewSet(ident.VMID(s.VMID), c)
+func newGates(lc fx.Lifecycle, s *settings.Settings, clock clockwork.Clock, policy *gate.Policy, targets *targets, previous gate.Predecessor) *gate.Set {
+	set := gate.NewSet(gate.Options{Self: ident.VMID(s.VMID), Clock: clock, Rules: policy, Targets: targets, Predecessor: previous})
+	lc.Append(fx.Hook{OnStop: func(context.Context) error {
+		set.Close()
+		return nil
+	}})
+	return set
+}
+
+func newHandler(s *gate.Server) peerapi.Handler {
+	path, h := peerv1connect.NewGateServiceHandler(s)
+	return peerapi.Handler{Path: path, Handler: h}
 }
 
 // Keeper rebuilds the plan when the bundle or the view changes and publishes it atomically.
@@ -46,18 +62,25 @@
 	source config.Source
 	viewer membership.Viewer
 	gates  *gate.Set
+	policy *gate.Policy
 	logger *log.Logger
 	plan   atomic.Pointer[placement.Plan]
 	mu     sync.Mutex
 }
 
-func newKeeper(source config.Source, viewer membership.Viewer, gates *gate.Set, logger *log.Logger) *Keeper {
-	return &Keeper{source: source, viewer: viewer, gates: gates, logger: logger.With("component", "placement")}
+func newKeeper(source config.Source, viewer membership.Viewer, gates *gate.Set, policy *gate.Policy, logger *log.Logger) *Keeper {
+	return &Keeper{source: source, viewer: viewer, gates: gates, policy: policy, logger: logger.With("component", "placement")}
 }
 
 // Plan returns the current plan without taking a lock, or nil.
 func (k *Keeper) Plan() *placement.Plan { return k.plan.Load() }
 
+// follow puts the rules of a new bundle in force before the plan is rebuilt, which takes longer.
+func (k *Keeper) follow(force *config.InForce) {
+	k.policy.Update(force.Bundle, force.Since)
+	k.rebuild()
+}
+
 func (k *Keeper) rebuild() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/targetclient/client.go
+++ b/targetclient/client.go
@@ -38,6 +38,8 @@
 	// ConnectionsPerTarget bounds open connections to one address.
 	ConnectionsPerTarget int
 	DialTimeout          time.Duration
+	// Dial opens connections instead of the client's own dialer, if set.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // New returns a client.
@@ -45,8 +47,11 @@
 	if o.DialTimeout == 0 {
 		o.DialTimeout = defaultDialTimeout
 	}
+	if o.Dial == nil {
+		o.Dial = (&net.Dialer{Timeout: o.DialTimeout}).DialContext
+	}
 	t := &http.Transport{
-		DialContext:           (&net.Dialer{Timeout: o.DialTimeout}).DialContext,
+		DialContext:           o.Dial,
 		MaxConnsPerHost:       o.ConnectionsPerTarget,
 		MaxIdleConnsPerHost:   o.ConnectionsPerTarget,
 		IdleConnTimeout:       idleTimeout,
