Route through owners once, and never resend on the peer transport

Cause: the router asked the same owner twice after not_owner, sent under a stale view, and the HTTP/2 client between VMs could send a leaf request again after a refused stream or GOAWAY, because connect-go offers a rewindable body.

Change: the owner is recomputed once and only if the plan names another one; a request that is not idempotent goes to one owner only. A stale view refuses with stale_view. Among several owners a sender chooses in proportion to their slots.

Measurement: at a socket that refuses the stream, sends GOAWAY or drops the connection, 1 request arrives for each call.

Conclusion: a leaf request reaches an owner at most once for each decision of the router.

--- a/plugin/relay/relay.go
+++ b/plugin/relay/relay.go
@@ -2,6 +2,7 @@
 package relay
 
 import (
+	"go.opentelemetry.io/otel/metric"
 	"go.uber.org/fx"
 
 	"teaselbank.example/teaselbank/gen/teaselbank/peer/v1/peerv1connect"
@@ -24,8 +25,8 @@
 	}})
 }
 
-func newRouter(s *settings.Settings, p relay.Planner, v membership.Viewer, l relay.Local, peers *relay.Peers) *relay.Router {
-	return relay.NewRouter(ident.VMID(s.VMID), p, v, l, peers)
+func newRouter(s *settings.Settings, p relay.Planner, v membership.Viewer, l relay.Local, peers *relay.Peers, meter metric.Meter) (*relay.Router, error) {
+	return relay.NewRouter(relay.Options{Self: ident.VMID(s.VMID), Planner: p, Viewer: v, Local: l, Peers: peers, Meter: meter})
 }
 
 func newHandler(s *relay.Server) peerapi.Handler {
--- /dev/null
+++ b/relay/peers_test.go
@@ -0,0 +1,111 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/net/http2"
+
+	"teaselbank.example/teaselbank/outcome"
+)
+
+// socketPeer speaks HTTP/2 frames: it counts the requests that arrive on all connections and lets a function answer.
+type socketPeer struct {
+	address  string
+	requests atomic.Int32
+	arrived  chan struct{}
+}
+
+func startSocketPeer(t *testing.T, answer func(*http2.Framer, uint32) error) *socketPeer {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	p := &socketPeer{address: l.Addr().String(), arrived: make(chan struct{}, 64)}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go p.serve(conn, answer)
+		}
+	}()
+	return p
+}
+
+func (p *socketPeer) serve(conn net.Conn, answer func(*http2.Framer, uint32) error) {
+	defer func() { _ = conn.Close() }()
+	if _, err := io.ReadFull(conn, make([]byte, len(http2.ClientPreface))); err != nil {
+		return
+	}
+	framer := http2.NewFramer(conn, conn)
+	if framer.WriteSettings() != nil {
+		return
+	}
+	for {
+		frame, err := framer.ReadFrame()
+		if err != nil {
+			return
+		}
+		if d, ok := frame.(*http2.DataFrame); ok && d.StreamEnded() {
+			// A client that sends again meets a lost connection in the end, so that the test ends as well.
+			again := p.requests.Add(1) > 2
+			if !again {
+				p.arrived <- struct{}{}
+			}
+			if again || answer(framer, d.StreamID) != nil {
+				return
+			}
+		}
+	}
+}
+
+// Guards against an HTTP/2 transport that sends a leaf request again by itself, and against "not run" for a request
+// that arrived.
+func TestPeerClientSendsOnce(t *testing.T) {
+	answers := map[string]func(*http2.Framer, uint32) error{
+		"refused stream": func(f *http2.Framer, id uint32) error { return f.WriteRSTStream(id, http2.ErrCodeRefusedStream) },
+		"goaway":         func(f *http2.Framer, _ uint32) error { return f.WriteGoAway(0, http2.ErrCodeNo, nil) },
+		"lost":           func(*http2.Framer, uint32) error { return io.EOF },
+	}
+	for name, answer := range answers {
+		t.Run(name, func(t *testing.T) {
+			peer := startSocketPeer(t, answer)
+			peers := NewPeers(NewPeerHTTPClient())
+			for sent := range 2 {
+				res := peers.SendLeaf(t.Context(), peer.address, outcome.LeafRequest{ID: "r1", Query: []byte("{}")})
+				require.Equal(t, outcome.LeafUnknown, res.Status)
+				require.EqualValues(t, sent+1, peer.requests.Load())
+			}
+		})
+	}
+}
+
+// Guards against a relay call that outlasts its context at a peer that never answers.
+func TestRelayCallEndsWithItsContext(t *testing.T) {
+	peer := startSocketPeer(t, func(*http2.Framer, uint32) error { return nil })
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan outcome.LeafResult)
+	go func() {
+		done <- NewPeers(NewPeerHTTPClient()).SendLeaf(ctx, peer.address, outcome.LeafRequest{ID: "r1"})
+	}()
+	<-peer.arrived
+	cancel()
+	res := <-done
+	require.Equal(t, outcome.LeafUnknown, res.Status)
+	require.Equal(t, outcome.ReasonCancelled, res.Reason)
+}
+
+// Guards against "unknown" for a request that provably never left, which a caller could not repeat.
+func TestUnreachablePeerIsNotRun(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, l.Close())
+	res := NewPeers(NewPeerHTTPClient()).SendLeaf(t.Context(), l.Addr().String(), outcome.LeafRequest{ID: "r1"})
+	require.Equal(t, outcome.LeafNotRun, res.Status)
+	require.Equal(t, outcome.ReasonPeerUnreachable, res.Reason)
+}
--- a/relay/router.go
+++ b/relay/router.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"errors"
-	"net"
-	"sync/atomic"
+	"math/rand/v2"
 
-	"connectrpc.com/connect"
+	"go.opentelemetry.io/otel/metric"
 
 	"teaselbank.example/teaselbank/ident"
 	"teaselbank.example/teaselbank/membership"
@@ -24,85 +22,116 @@
 	DoLeaf(ctx context.Context, r outcome.LeafRequest) outcome.LeafResult
 }
 
+// Options are the surroundings of a Router.
+type Options struct {
+	Self    ident.VMID
+	Planner Planner
+	Viewer  membership.Viewer
+	Local   Local
+	Peers   *Peers
+	Meter   metric.Meter
+}
+
 // Router sends each leaf request to the owner of its target: to this VM's own gates when it is the owner, else to
 // the owner through the relay.
 type Router struct {
-	self    ident.VMID
-	planner Planner
-	viewer  membership.Viewer
-	local   Local
-	peers   *Peers
-
-	direct  atomic.Uint64
-	relayed atomic.Uint64
+	Options
+	counters *counters
 }
 
 // NewRouter returns a router for the VM.
-func NewRouter(self ident.VMID, planner Planner, viewer membership.Viewer, local Local, peers *Peers) *Router {
-	return &Router{self: self, planner: planner, viewer: viewer, local: local, peers: peers}
+func NewRouter(o Options) (*Router, error) {
+	c, err := newCounters(o.Meter)
+	if err != nil {
+		return nil, err
+	}
+	return &Router{Options: o, counters: c}, nil
 }
 
-// Counts returns how many leaf requests went to own gates and to other owners.
-func (r *Router) Counts() (direct, relayed uint64) { return r.direct.Load(), r.relayed.Load() }
-
-// maxOwnerLookups allows one repetition after an owner answered that it is not the owner.
-const maxOwnerLookups = 2
-
-// Send runs one leaf request through the owner of its target.
+// Send runs one leaf request through the owner of its target. An owner that says it is not the owner is replaced once.
+// A request that is not idempotent is handed to one owner only.
 func (r *Router) Send(ctx context.Context, req outcome.LeafRequest) outcome.LeafResult {
-	var res outcome.LeafResult
-	for range maxOwnerLookups {
-		res = r.sendOnce(ctx, req)
-		if res.Status != outcome.LeafNotRun || res.Reason != outcome.ReasonNotOwner {
-			return res
+	owner, refused := r.owner(ctx, req.Target, "")
+	if owner == "" {
+		return r.counters.refuse(ctx, refused)
+	}
+	res := r.sendTo(ctx, owner, req)
+	if notOwner(res) && !req.NonIdempotent {
+		// The plan may have changed meanwhile; an unchanged one names no other owner of a target that has only one.
+		if next, _ := r.owner(ctx, req.Target, owner); next != "" {
+			r.counters.recompute(ctx)
+			res = r.sendTo(ctx, next, req)
 		}
 	}
+	r.counters.result(ctx, res)
 	return res
 }
 
-func (r *Router) sendOnce(ctx context.Context, req outcome.LeafRequest) outcome.LeafResult {
-	if ctx.Err() != nil {
-		return outcome.LeafRefused(outcome.ReasonDeadline, "deadline passed before the send")
+func notOwner(res outcome.LeafResult) bool {
+	return res.Status == outcome.LeafNotRun && res.Reason == outcome.ReasonNotOwner
+}
+
+// owner returns the VM to send to, other than the excluded one; or none and the reason.
+func (r *Router) owner(ctx context.Context, id ident.TargetID, excluded ident.VMID) (ident.VMID, outcome.LeafResult) {
+	select {
+	case <-ctx.Done():
+		return "", outcome.LeafRefused(outcome.ReasonDeadline, "the context ended before the send")
+	default:
 	}
-	plan := r.planner.Plan()
+	if r.Viewer.View().Stale {
+		return "", outcome.LeafRefused(outcome.ReasonStaleView, "this process was paused and has to refresh its view")
+	}
+	plan := r.Planner.Plan()
 	if plan == nil {
-		return outcome.LeafRefused(outcome.ReasonNoBundle, "no placement plan yet")
+		return "", outcome.LeafRefused(outcome.ReasonNoBundle, "no placement plan yet")
 	}
-	target, ok := plan.Target(req.Target)
+	target, ok := plan.Target(id)
 	if !ok || len(target.Owners) == 0 {
-		return outcome.LeafRefused(outcome.ReasonTargetUnknown, "the target has no owner in the plan")
-	}
-	if _, own := target.OwnedBy(r.self); own {
-		r.direct.Add(1)
-		return r.local.DoLeaf(ctx, req)
-	}
-	member, ok := r.viewer.View().Lookup(target.Owners[0].VM)
-	if !ok {
-		return outcome.LeafRefused(outcome.ReasonPeerUnreachable, "the owner is not in the view")
+		return "", outcome.LeafRefused(outcome.ReasonTargetUnknown, "the target has no owner in the plan")
 	}
-	r.relayed.Add(1)
-	return r.relay(ctx, member.Address, req)
+	return r.pick(target, excluded), outcome.LeafRefused(outcome.ReasonNotOwner, "no other owner")
 }
 
-func (r *Router) relay(ctx context.Context, address string, req outcome.LeafRequest) outcome.LeafResult {
-	resp, err := r.peers.Relay(address).SendLeaf(ctx, connect.NewRequest(ToMessage(ctx, req)))
-	if err != nil {
-		return Failure(err)
+// pick prefers this VM, and otherwise chooses an owner in proportion to its slots.
+func (r *Router) pick(target *placement.Target, excluded ident.VMID) ident.VMID {
+	total := 0
+	for _, o := range target.Owners {
+		if o.VM == excluded {
+			continue
+		}
+		if o.VM == r.Self {
+			return o.VM
+		}
+		total += o.Slots
+	}
+	if total == 0 {
+		return ""
+	}
+	n := 0
+	if len(target.Owners) > 1 {
+		n = rand.IntN(total)
 	}
-	return ResultFromMessage(resp.Msg)
+	for _, o := range target.Owners {
+		if o.VM == excluded {
+			continue
+		}
+		if n < o.Slots {
+			return o.VM
+		}
+		n -= o.Slots
+	}
+	return ""
 }
 
-// Failure says what a failed call to a peer means: only a dial that failed proves that nothing was sent.
-func Failure(err error) outcome.LeafResult {
-	var op *net.OpError
-	switch {
-	case errors.As(err, &op) && op.Op == "dial":
-		return outcome.LeafRefused(outcome.ReasonPeerUnreachable, err.Error())
-	case connect.CodeOf(err) == connect.CodeDeadlineExceeded:
-		return outcome.LeafLost(outcome.ReasonDeadline, err.Error())
-	case connect.CodeOf(err) == connect.CodeCanceled:
-		return outcome.LeafLost(outcome.ReasonCancelled, err.Error())
-	default:
-		return outcome.LeafLost(outcome.ReasonPeerUnreachable, err.Error())
+func (r *Router) sendTo(ctx context.Context, owner ident.VMID, req outcome.LeafRequest) outcome.LeafResult {
+	if owner == r.Self {
+		r.counters.direct(ctx)
+		return r.Local.DoLeaf(ctx, req)
+	}
+	member, ok := r.Viewer.View().Lookup(owner)
+	if !ok {
+		return outcome.LeafRefused(outcome.ReasonPeerUnreachable, "the owner is not in the view")
 	}
+	r.counters.relayed(ctx)
+	return r.Peers.SendLeaf(ctx, member.Address, req)
 }
--- a/relay/server.go
+++ b/relay/server.go
@@ -8,6 +8,7 @@
 
 	peerv1 "teaselbank.example/teaselbank/gen/teaselbank/peer/v1"
 	"teaselbank.example/teaselbank/gen/teaselbank/peer/v1/peerv1connect"
+	"teaselbank.example/teaselbank/outcome"
 )
 
 // Server answers peers' relay calls.
@@ -21,6 +22,10 @@
 
 // SendLeaf runs a leaf request of a target that this VM owns.
 func (s *Server) SendLeaf(ctx context.Context, req *connect.Request[peerv1.SendLeafRequest]) (*connect.Response[peerv1.SendLeafResponse], error) {
+	if req.Msg.GetRemainingUs() <= 0 {
+		refused := outcome.LeafRefused(outcome.ReasonDeadline, "the deadline passed on the way")
+		return connect.NewResponse(ResultToMessage(refused)), nil
+	}
 	// The sender's remaining time is restated as a local deadline, so clocks of two VMs are never compared.
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(req.Msg.GetRemainingUs())*time.Microsecond)
 	defer cancel()
