Tell the slow replies of a cold target from its norm

Cause: an owner without a baseline took the first replies, which are slow at a cold target, for normal latency, and doubled the limit on them.

Change: without a known norm the first doubling takes 1,024 successes, and a drop of the latency below half begins the run again. Warm targets of the same service at the same VM give the norm otherwise. In cold start the baseline rises at 1/1024 instead of 1/64. The rate of new connections leaves room for the burst, so that no second holds more than 50.

A target that falls back silently under full load is noticed after 3 slow replies.

--- a/gate/coldstart.go
+++ b/gate/coldstart.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"sync/atomic"
 	"time"
 
 	"teaselbank.example/teaselbank/outcome"
@@ -11,6 +12,9 @@
 	// warmRun is how many successes at normal latency, for each slot of the limit, double the limit. A run has to be
 	// long enough that a target which fails under a higher limit shows it before the next doubling.
 	warmRun = 32
+	// firstRun is the run that doubles the limit first when nothing tells the target's normal latency: its first replies
+	// may all be slow ones of a cold target, and only a target that is warm stays at one latency for long.
+	firstRun = 1024
 	// normalFactor and slowFactor are multiples of the baseline: a reply up to the first is normal, one beyond the
 	// second is slow.
 	normalFactor = 2
@@ -18,9 +22,11 @@
 	// slowRun is how many slow replies in a row mean a cold start; stragglers of 1 in 100 rarely come three in a row.
 	slowRun = 3
 	// Shifts of the baseline's moving average: it follows lower latency at 1/4, and higher at 1/64, so that a slow
-	// spell does not become the norm before it is noticed, while a lasting change does in the end.
-	baselineDownShift = 2
-	baselineUpShift   = 6
+	// spell does not become the norm before it is noticed, while a lasting change does in the end. In cold start it
+	// rises at 1/1024 only: the replies are slow then, and 1/64 takes three times the norm for normal after 45 of them.
+	baselineDownShift   = 2
+	baselineUpShift     = 6
+	baselineUpShiftCold = 10
 )
 
 // coldStart infers from replies whether a target is in cold start, and how many requests it bears at once.
@@ -34,6 +40,10 @@
 	successes int
 	slow      int
 	baseline  time.Duration
+	// normKnown says that the baseline is the latency of a warm target.
+	normKnown bool
+	// shared is the baseline of warm targets of the same service at this VM, in nanoseconds; 0 or nil if there is none.
+	shared *atomic.Int64
 	// incarnation is the target's last known one. Late replies of the previous one are ignored: they would look like
 	// another restart.
 	incarnation string
@@ -115,6 +125,11 @@
 }
 
 func (c *coldStart) latency(d time.Duration, ok bool) {
+	if c.baseline == 0 && c.shared != nil {
+		// The first replies of a cold target are slow; taken as the norm, they would warm it up too early.
+		c.baseline = time.Duration(c.shared.Load())
+		c.normKnown = c.baseline > 0
+	}
 	if c.baseline == 0 {
 		if ok {
 			c.baseline = max(d, 1)
@@ -123,6 +138,9 @@
 		return
 	}
 	switch {
+	case ok && !c.normKnown && normalFactor*d < c.baseline:
+		// The replies so far were slow ones.
+		c.baseline, c.successes = max(d, 1), 0
 	case d > slowFactor*c.baseline:
 		c.slow++
 		c.successes = 0
@@ -136,6 +154,9 @@
 		c.slow, c.successes = 0, 0
 	}
 	c.learn(d)
+	if !c.cold && c.shared != nil {
+		c.shared.Store(int64(c.baseline))
+	}
 }
 
 func (c *coldStart) learn(d time.Duration) {
@@ -143,7 +164,11 @@
 		c.baseline -= (c.baseline - d) >> baselineDownShift
 		return
 	}
-	c.baseline += (min(d, normalFactor*c.baseline) - c.baseline) >> baselineUpShift
+	shift := baselineUpShift
+	if c.cold {
+		shift = baselineUpShiftCold
+	}
+	c.baseline += (min(d, normalFactor*c.baseline) - c.baseline) >> shift
 }
 
 func (c *coldStart) succeed() {
@@ -151,10 +176,14 @@
 		return
 	}
 	c.successes++
-	if c.successes < warmRun*c.limit {
+	run := warmRun * c.limit
+	if !c.normKnown {
+		run = firstRun
+	}
+	if c.successes < run {
 		return
 	}
-	c.successes = 0
+	c.successes, c.normKnown = 0, true
 	c.limit = min(2*c.limit, c.slots)
 	c.cold = c.limit < c.slots
 }
--- a/gate/connections.go
+++ b/gate/connections.go
@@ -14,6 +14,9 @@
 // ConnectRate is how many connections to targets one VM opens each second, so that a change of owner opens no storm.
 const ConnectRate = 50
 
+// burst connections may open at once. A second holds the burst and what the rate adds, so the rate leaves room for it.
+const burst = 1
+
 // readyMaxAge is how long an unused connection is kept: targets close idle ones after a time of their own.
 const readyMaxAge = 30 * time.Second
 
@@ -32,7 +35,7 @@
 
 // NewOpener returns an opener over a dial function, which has to bound its own time.
 func NewOpener(clock clockwork.Clock, dial DialFunc) *Opener {
-	return &Opener{clock: clock, dial: dial, limiter: rate.NewLimiter(ConnectRate, 1)}
+	return &Opener{clock: clock, dial: dial, limiter: rate.NewLimiter(ConnectRate-burst, burst)}
 }
 
 // schedule opens a connection when the rate permits.
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -47,6 +48,7 @@
 
 // warm makes the target warm with a baseline.
 func (b *bench) warm(baseline time.Duration) {
+	b.cold.normKnown = true
 	b.cold.cold, b.cold.limit, b.cold.baseline, b.cold.incarnation = false, b.limits.usable(), baseline, "i1"
 }
 
@@ -162,6 +164,8 @@
 // Guards against a jump from the cold-start limit to full load.
 func TestLimitDoublesAfterRunsOfSuccesses(t *testing.T) {
 	b := newBench(t, Limits{Slots: 6, ColdSlots: 1, Queue: 9})
+	b.warm(time.Millisecond)
+	b.cold.fall()
 	for _, step := range []int{1, 2, 4} {
 		require.Equal(t, step, b.cold.limit)
 		for range warmRun * step {
@@ -175,6 +179,37 @@
 	require.False(t, b.cold.cold)
 }
 
+// Guards against the slow replies of a cold target being taken as its norm at the first contact.
+func TestFirstContactWaitsForOneLatency(t *testing.T) {
+	b := newBench(t, Limits{Slots: 6, ColdSlots: 1, Queue: 9})
+	replies := func(n int, d time.Duration) {
+		for range n {
+			b.running++
+			b.reply(ok("i1"), d)
+		}
+	}
+	replies(firstRun-1, 5*time.Millisecond)
+	require.Equal(t, 1, b.cold.limit)
+	replies(firstRun, time.Millisecond)
+	require.Equal(t, 1, b.cold.limit, "the run begins again at the lower latency")
+	replies(1, time.Millisecond)
+	require.Equal(t, 2, b.cold.limit)
+	replies(2*warmRun, time.Millisecond)
+	require.Equal(t, 4, b.cold.limit)
+}
+
+// Guards against the slow replies of a cold target being taken as its norm when another target of the service is warm.
+func TestBaselineIsSharedWithinAService(t *testing.T) {
+	b := newBench(t, Limits{Slots: 6, ColdSlots: 1, Queue: 9})
+	b.cold.shared = &atomic.Int64{}
+	b.cold.shared.Store(int64(time.Millisecond))
+	for range 2 * warmRun {
+		b.running++
+		b.reply(ok("i1"), 3*time.Millisecond)
+	}
+	require.Equal(t, 1, b.cold.limit)
+}
+
 // Guards against extra load on a cold target, also from a hedge that was queued while the target was warm.
 func TestNoHedgesOrRetriesWhileCold(t *testing.T) {
 	b := newBench(t, Limits{Slots: 1, ColdSlots: 1, Queue: 9})
--- a/gate/ownership.go
+++ b/gate/ownership.go
@@ -144,6 +144,7 @@
 	}
 	g.cold.incarnation, g.cold.cold = states[0].Incarnation, cold
 	g.cold.limit = max(g.cold.limit, min(limit, g.owner.next.usable()))
+	g.cold.normKnown = !cold
 }
 
 // noHandover notes that a previous owner does not answer: what it ran, it may still run until the delay ends.
--- a/gate/set.go
+++ b/gate/set.go
@@ -50,6 +50,8 @@
 type Set struct {
 	Options
 	gates atomic.Pointer[map[ident.TargetID]*Gate]
+	// baselines hold the latency of warm targets for each service.
+	baselines sync.Map // ident.ServiceID -> *atomic.Int64
 
 	// mu serialises changes of ownership.
 	mu      sync.Mutex
@@ -148,6 +150,8 @@
 		delete(s.retired, t.ID)
 	} else {
 		g = New(t.ID, t.Address, limits, s.Targets.Open(t.Address, limits.Connections), s.Clock, s.Rules)
+		shared, _ := s.baselines.LoadOrStore(t.Service, new(atomic.Int64))
+		g.cold.shared = shared.(*atomic.Int64)
 	}
 	if moved {
 		g.Recheck()
