--- a/benchmarks/fleet.go
+++ b/benchmarks/fleet.go
@@ -14,22 +14,22 @@
 
 // Sizes and times of the benchmarks with real processes.
 const (
-	processVMs      = 8
-	processShards   = 10
-	processTimeout  = 2 * time.Minute
-	warmUpTime      = 4 * time.Second
-	calmTime        = 3 * time.Second
-	zoneTime        = 4 * time.Second
-	zoneOutBound    = 3 * time.Second
-	configBoundS    = 5.0
-	configChanges   = 10
-	balancerDelay   = 300 * time.Millisecond
-	loadWorkers     = 8
-	loadPause       = 10 * time.Millisecond
-	loadDeadline    = 500
-	minServiceShare = 0.99
-	coldRequests    = 20
-	restartSettle   = 300 * time.Millisecond
+	processVMs          = 8
+	processShards       = 10
+	processTimeout      = 2 * time.Minute
+	warmUpTime          = 4 * time.Second
+	calmTime            = 3 * time.Second
+	zoneTime            = 4 * time.Second
+	zoneOutBound        = 3 * time.Second
+	configBoundS        = 5.0
+	configChanges       = 10
+	balancerDelay       = 300 * time.Millisecond
+	loadWorkers         = 8
+	loadPause           = 10 * time.Millisecond
+	loadDeadline        = 500
+	minServiceShare     = 0.99
+	processColdRequests = 20
+	restartSettle       = 300 * time.Millisecond
 )
 
 var processZones = []ident.Zone{"petrosani", "lupeni", "vulcan"}
@@ -56,7 +56,7 @@
 		BinDir: bin, Dir: dir, Zones: processZones, VMs: processVMs, PlatformLag: time.Second,
 		DaemonArgs: []string{"--balancer-delay=" + balancerDelay.String(), "--drain-timeout=10s", "--peer-grace=3s"},
 		Services: []processes.ServiceSpec{{ID: "dispecerat", Shards: processShards, Zones: processZones, Slots: 6, ColdSlots: 2,
-			Connections: 50, TargetArgs: []string{"--service-time=3ms", fmt.Sprintf("--cold-requests=%d", coldRequests)}}},
+			Connections: 50, TargetArgs: []string{"--service-time=3ms", fmt.Sprintf("--cold-requests=%d", processColdRequests)}}},
 	})
 	if err != nil {
 		return nil, err
@@ -144,12 +144,12 @@
 		if err := processes.WaitFor(ctx, string(d.VM)+" ready", d.Ready); err != nil {
 			return err
 		}
-		pause(ctx, restartSettle)
+		sleepFor(ctx, restartSettle)
 	}
 	return nil
 }
 
-func pause(ctx context.Context, d time.Duration) {
+func sleepFor(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
 	case <-time.After(d):
--- a/benchmarks/fleet_failures.go
+++ b/benchmarks/fleet_failures.go
@@ -42,9 +42,9 @@
 		loadFor(ctx, fl, warmUpTime)
 		victim := fl.Daemons[1]
 		r, err := during(ctx, fl, func() error {
-			pause(ctx, time.Second)
+			sleepFor(ctx, time.Second)
 			victim.Process.Kill()
-			pause(ctx, recoverTime)
+			sleepFor(ctx, recoverTime)
 			return nil
 		})
 		if err != nil {
@@ -73,7 +73,7 @@
 			if err := victim.Process.Signal(syscall.SIGSTOP); err != nil {
 				return err
 			}
-			pause(ctx, pauseTime)
+			sleepFor(ctx, pauseTime)
 			return victim.Process.Signal(syscall.SIGCONT)
 		})
 		if err != nil {
@@ -99,7 +99,7 @@
 			return nil, err
 		}
 		r, err := during(ctx, fl, func() error {
-			pause(ctx, outageTime)
+			sleepFor(ctx, outageTime)
 			return nil
 		})
 		if err != nil {
