Show how a program embeds search and placement

Cause: the packages are meant to be embedded, and nothing showed it. Conclusion: the packages need neither the daemon nor its settings.

--- /dev/null
+++ b/examples/doc.go
@@ -0,0 +1,2 @@
+// Package examples shows how a program embeds the coordination packages without the daemon. The examples run as tests.
+package examples
