Notice silent targets sooner and keep them from raising the hedge delay

Sends without a reply fed the hedge delay with the time they were waited for, so later hedges let them wait longer; a silent target was left only when its requests were given up; and the saved budget of 64 was used up by the first searches.

Change: a first send that was given up counts as just above the delay. A target whose requests have waited longer than its latency without any reply counts with that time. Up to 256 extra sends are saved up; they still start at none, so the share of first sends holds over any history. A denied shard is tried again four times in each hedge delay.

Tests: with the waited time fed to the delay TestSilentSendsDoNotRaiseTheHedgeDelay fails; with the waiting time left out of the score TestWaitingWithoutReplyCounts fails.

--- a/hedge/hedge.go
+++ b/hedge/hedge.go
@@ -13,9 +13,10 @@
 
 // Constants of the rules.
 const (
-	// maxTokens bounds the extra sends that a calm period saves up: about one shard in two of a 104-leaf search, so
-	// that the loss of one replica of each shard can be retried at once.
-	maxTokens = 64
+	// maxTokens bounds the extra sends that a calm period saves up. The loss of one replica of each shard meets half of
+	// the shards of every 52-leaf search that starts before the first hedges: four at 151 searches/s, 104 shards, and
+	// the probes of the lost targets after them. 256 is what a node earns in 0.7 s at that rate.
+	maxTokens = 256
 	// slowShare is the share of recent first sends above the hedge delay beyond which everything counts as slow.
 	slowShare = 0.20
 	// slowWeight is the weight of one first send in that share; 1/200 makes about four 52-leaf searches recent.
@@ -50,8 +51,7 @@
 	s.tokens = min(maxTokens, s.tokens+float64(sends)*float64(extraPercent)/100)
 }
 
-// Observe takes in the latency of a first send that ended. A first send that was cancelled because another one won
-// counts with the time it was waited for, which is at least the hedge delay.
+// Observe takes in the latency of a first send that ended.
 func (s *Service) Observe(latency time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -92,6 +92,25 @@
 	require.True(t, choice.Stale)
 }
 
+// A black hole must be left as soon as its requests wait for longer than usual, not when they are given up; one
+// straggler of a target that goes on answering must not count.
+func TestWaitingWithoutReplyCounts(t *testing.T) {
+	w := newWorld()
+	w.done("near", ok(0), 3*time.Millisecond)
+	w.done("far", ok(0), 11*time.Millisecond)
+	straggler := w.tracker.Begin(w.target("near"))
+	w.clock.Advance(10 * time.Millisecond)
+	choice, _ := w.choose(outcome.SendFirst, false, "third")
+	require.Equal(t, ident.TargetID("far"), choice.Target.ID)
+	w.done("near", ok(0), 3*time.Millisecond)
+	choice, _ = w.choose(outcome.SendFirst, false, "third")
+	require.Equal(t, ident.TargetID("near"), choice.Target.ID)
+	straggler.Unsent()
+	w.clock.Advance(time.Second)
+	choice, _ = w.choose(outcome.SendFirst, false, "third")
+	require.Equal(t, ident.TargetID("near"), choice.Target.ID, "nothing waits any more")
+}
+
 // A target that fails or swallows requests must be avoided, yet found again with one probe at a time.
 func TestFailedTargetsAreAvoidedAndProbed(t *testing.T) {
 	for name, fail := range map[string]func(*world){
--- a/replica/tracker.go
+++ b/replica/tracker.go
@@ -54,8 +54,11 @@
 // state is what is known of one target.
 type state struct {
 	inFlight atomic.Int64
-	known    atomic.Pointer[known]
-	mu       sync.Mutex // serialises changes of known
+	// waiting is since when, in nanoseconds since 1970, requests to the target have had no reply; 0 if none is in
+	// flight.
+	waiting atomic.Int64
+	known   atomic.Pointer[known]
+	mu      sync.Mutex // serialises changes of known
 }
 
 // known is immutable; its zero value says that nothing is known.
@@ -102,25 +105,36 @@
 func (t *Tracker) Begin(target *catalog.Target) InFlight {
 	s := t.state(target.ID)
 	s.inFlight.Add(1)
+	s.waiting.CompareAndSwap(0, t.clock.Now().UnixNano())
 	return InFlight{t, s, target}
 }
 
 // Unsent takes back a request that was not made.
-func (f InFlight) Unsent() { f.state.inFlight.Add(-1) }
+func (f InFlight) Unsent() { f.state.end(false, time.Time{}) }
+
+// end takes a request out of flight. A reply shows that the target answers, so the others have waited from now on.
+func (s *state) end(replied bool, now time.Time) {
+	switch left := s.inFlight.Add(-1); {
+	case left <= 0:
+		s.waiting.Store(0)
+	case replied:
+		s.waiting.Store(now.UnixNano())
+	}
+}
 
 // Done takes in what became of the request, which took elapsed. A reply to another request proves nothing about the
 // target and must be passed as lost.
 func (f InFlight) Done(res *outcome.LeafResult, elapsed time.Duration) {
-	f.state.inFlight.Add(-1)
+	now := f.tracker.clock.Now()
+	f.state.end(res.Incarnation != "", now)
 	f.state.mu.Lock()
 	defer f.state.mu.Unlock()
 	k := *f.state.known.Load()
-	f.tracker.apply(&k, f.target, res, elapsed)
+	f.tracker.apply(&k, f.target, res, elapsed, now)
 	f.state.known.Store(&k)
 }
 
-func (t *Tracker) apply(k *known, target *catalog.Target, res *outcome.LeafResult, elapsed time.Duration) {
-	now := t.clock.Now()
+func (t *Tracker) apply(k *known, target *catalog.Target, res *outcome.LeafResult, elapsed time.Duration, now time.Time) {
 	if res.Incarnation != "" {
 		if res.Incarnation != k.incarnation {
 			k.incarnation, k.drainingUntil = res.Incarnation, time.Time{}
@@ -180,7 +194,9 @@
 
 // score is the expected time of one more request: (in flight + queued) x latency + distance. The request itself
 // counts as in flight. The estimate of a target that has not replied for longer than StaleAfter halves with every
-// further StaleAfter, so that a target that was slow once is tried again.
+// further StaleAfter, so that a target that was slow once is tried again. A target whose requests have waited for
+// longer than its latency without any reply counts with that time: a black hole shows at once, not when its requests
+// are given up.
 func (t *Tracker) score(target *catalog.Target, s *state, now time.Time) (score float64, stale bool) {
 	k := s.known.Load()
 	latency, queued := float64(k.latency), float64(k.queued)
@@ -192,8 +208,12 @@
 		stale, queued = true, 0
 		latency *= math.Exp2(-float64(age)/float64(StaleAfter) + 1)
 	}
-	waiting := float64(s.inFlight.Load()) + queued + 1
-	return waiting*latency + float64(t.distance(target.Zone)), stale
+	if since := s.waiting.Load(); since != 0 {
+		waited := now.Sub(time.Unix(0, since)) - t.distance(target.Zone)
+		latency = max(latency, float64(waited))
+	}
+	ahead := float64(s.inFlight.Load()) + queued + 1
+	return ahead*latency + float64(t.distance(target.Zone)), stale
 }
 
 // Prune forgets the targets that keep does not name, which bounds memory when bundles replace targets.
--- a/search/attempt.go
+++ b/search/attempt.go
@@ -118,11 +118,15 @@
 	}
 }
 
-// observe feeds the hedge delay. A first send that was given up counts with the time it was waited for, but only if
-// that is above the delay: one that was cancelled early says nothing about its latency.
+// observe feeds the hedge delay. A first send that was given up after the delay counts as just above it: with the time
+// it was waited for, sends that get no reply would raise the delay, later hedges would let them wait longer, and the
+// delay would rise without end. One that was given up earlier says nothing about its latency.
 func (r *run) observe(res *outcome.LeafResult, elapsed time.Duration) {
 	delay, known := r.budget.Delay()
-	if res.Status == outcome.LeafOK || (res.Status == outcome.LeafUnknown && known && elapsed >= delay) {
+	switch {
+	case res.Status == outcome.LeafOK:
 		r.budget.Observe(elapsed)
+	case res.Status == outcome.LeafUnknown && known && elapsed >= delay:
+		r.budget.Observe(delay)
 	}
 }
--- a/search/run.go
+++ b/search/run.go
@@ -20,7 +20,9 @@
 	// maxSends bounds the sends of one shard.
 	maxSends = 4
 	// maxRetryWaits is how many ticks a shard waits for the budget to allow a retry before it is given up.
-	maxRetryWaits = 4
+	maxRetryWaits = 16
+	// ticksPerDelay is how often, within one more hedge delay, a shard is tried again that the budget denied.
+	ticksPerDelay = 4
 	// defaultTick is the time between two ticks while the hedge delay is unknown.
 	defaultTick = 10 * time.Millisecond
 	// discoveryTimeout bounds a discovery whose search has no deadline.
@@ -148,10 +150,15 @@
 }
 
 func (r *run) tickAfter() time.Duration {
-	if delay, known := r.budget.Delay(); known {
+	delay, known := r.budget.Delay()
+	switch {
+	case !known:
+		return defaultTick
+	case r.ticks == 0:
 		return delay
+	default:
+		return max(delay/ticksPerDelay, time.Millisecond)
 	}
-	return defaultTick
 }
 
 // receive takes in an ended attempt.
--- a/search/search_test.go
+++ b/search/search_test.go
@@ -214,6 +214,31 @@
 	})
 }
 
+// Sends that get no reply must not raise the hedge delay: later hedges would let them wait longer still.
+func TestSilentSendsDoNotRaiseTheHedgeDelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(40)
+		silent := false
+		w.reply = func(ctx context.Context, r outcome.LeafRequest, _ int) outcome.LeafResult {
+			wait := 3 * time.Millisecond
+			if silent && r.Shard[len(r.Shard)-1] == '7' && r.Kind == outcome.SendFirst {
+				wait = time.Hour
+			}
+			if !after(ctx, wait) {
+				return outcome.LeafLost(outcome.ReasonCancelled, "")
+			}
+			return whole(r)
+		}
+		for range 150 {
+			w.search(1)
+			silent = len(w.sends) > 800
+		}
+		delay, known := w.Hedge.Service("subventii").Delay()
+		require.True(t, known)
+		require.Less(t, delay, 5*time.Millisecond)
+	})
+}
+
 // A zone taken out while a query runs must get none of its later sends, neither hedges nor retries.
 func TestZoneTakenOutDuringAQuery(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
