--- a/search/run.go
+++ b/search/run.go
@@ -20,7 +20,9 @@
 	// maxSends bounds the sends of one shard.
 	maxSends = 4
 	// maxRetryWaits is how many ticks a shard waits for the budget to allow a retry before it is given up.
-	maxRetryWaits = 4
+	maxRetryWaits = 16
+	// ticksPerDelay is how often, within one more hedge delay, a shard is tried again that the budget denied.
+	ticksPerDelay = 4
 	// defaultTick is the time between two ticks while the hedge delay is unknown.
 	defaultTick = 10 * time.Millisecond
 	// discoveryTimeout bounds a discovery whose search has no deadline.
@@ -73,24 +75,28 @@
 	if !r.admitted(answer) {
 		return
 	}
-	r.budget.First(r.gathering.open, r.percent)
-	r.scatter()
+	r.budget.First(r.scatter(), r.percent)
 	r.discover()
 	r.gather()
 	r.end()
 	r.gathering.answer(answer, r.query.MinCoverage)
 }
 
-// scatter sends one request for each shard that is not answered yet.
-func (r *run) scatter() {
+// scatter sends one request for each shard that is not answered yet, and returns how many it sent: only those earn
+// extra sends.
+func (r *run) scatter() int {
+	sent := 0
 	for i := range r.gathering.shards {
 		if r.gathering.shards[i].closed {
 			continue
 		}
 		if reason := r.send(i, outcome.SendFirst); reason != outcome.ReasonNone {
 			r.gathering.giveUp(i, reason)
+			continue
 		}
+		sent++
 	}
+	return sent
 }
 
 // send chooses a replica for the shard and sends to it, or says why not.
@@ -148,10 +154,15 @@
 }
 
 func (r *run) tickAfter() time.Duration {
-	if delay, known := r.budget.Delay(); known {
+	delay, known := r.budget.Delay()
+	switch {
+	case !known:
+		return defaultTick
+	case r.ticks == 0:
 		return delay
+	default:
+		return max(delay/ticksPerDelay, time.Millisecond)
 	}
-	return defaultTick
 }
 
 // receive takes in an ended attempt.
