Spread signed bundles between VMs and keep acceptance rules as values

Cause: every VM read the platform by itself, a VM without a disk took whatever the platform published, and a listener that blocked would have held up acceptance.

Change: package distribution. Two watchers a zone hold a long poll on the platform; an accepted bundle is pushed to 8 peers (the next VM of the own zone always, at least one in each other zone), relayed in the form received, as a zstd delta where the receiver has the base. PeerHas fetches what gossip names, and a random peer is asked every 20 s. A starting VM asks peers first and waits PeerGrace. config: acceptance rules as a list, a conflict alarm that stays until a higher version, a rule against leaving out keyring rotations, listeners that run outside the lock. The envelope of a signed bundle is accepted in its canonical form only; rotation chains must be consecutive.

Measured: go test -race passes. With the rule never_revert switched off, TestNeverReverts, TestConflictAlarmStays and TestRolledBackPlatformNeverWins fail; without keyring_never_reverts TestRetiredKeyringStaysRetired fails; without the size check TestDecompressionBomb fails.

Conclusion: restored, all pass. Fleet tests run with fake time (testing/synctest).

--- a/bundle/keyring.go
+++ b/bundle/keyring.go
@@ -1,9 +1,11 @@
 package bundle
 
 import (
+	"bytes"
 	"crypto/ed25519"
 	"encoding/json"
 	"fmt"
+	"slices"
 )
 
 // Keyring is a set of named signers and how many of them a bundle needs.
@@ -57,33 +59,74 @@
 	return nil
 }
 
-// Follow verifies a chain of rotations from k and returns the last keyring. Rotations up to k's own epoch are
-// skipped, so that settings may carry a later root.
-func (k Keyring) Follow(chain []KeyringChange) (Keyring, error) {
-	if err := k.Validate(); err != nil {
+// Equal reports whether both keyrings are the same statement.
+func (k Keyring) Equal(other Keyring) bool {
+	return k.Epoch == other.Epoch && k.Threshold == other.Threshold &&
+		slices.EqualFunc(k.Keys, other.Keys, func(a, b Key) bool {
+			return a.Signer == b.Signer && bytes.Equal(a.Public, b.Public)
+		})
+}
+
+// Follow verifies a chain of rotations from k and returns the last keyring.
+func (k Keyring) Follow(rotations []KeyringChange) (Keyring, error) {
+	rings, err := k.Chain(rotations)
+	if err != nil {
 		return Keyring{}, err
 	}
-	ring := k
-	for _, change := range chain {
-		if change.Keyring.Epoch <= ring.Epoch {
-			continue
-		}
-		if change.Keyring.Epoch != ring.Epoch+1 {
-			return Keyring{}, fmt.Errorf("%w: epoch %d follows %d", ErrKeyring, change.Keyring.Epoch, ring.Epoch)
+	return rings[len(rings)-1], nil
+}
+
+// Chain verifies a chain of rotations and returns k and every keyring after it. Epochs must be consecutive. Rotations
+// before k's own epoch are skipped, so that settings may carry a later root; one of k's epoch must be k itself.
+func (k Keyring) Chain(rotations []KeyringChange) ([]Keyring, error) {
+	if err := k.Validate(); err != nil {
+		return nil, err
+	}
+	rings := []Keyring{k}
+	for i, change := range rotations {
+		next, ring := change.Keyring, rings[len(rings)-1]
+		if i > 0 && next.Epoch != rotations[i-1].Keyring.Epoch+1 {
+			return nil, fmt.Errorf("%w: epoch %d follows %d", ErrKeyring, next.Epoch, rotations[i-1].Keyring.Epoch)
 		}
-		if err := change.Keyring.Validate(); err != nil {
-			return Keyring{}, err
+		if next.Epoch == k.Epoch && !next.Equal(k) {
+			return nil, fmt.Errorf("%w: epoch %d is not the keyring of the settings", ErrKeyring, next.Epoch)
 		}
-		message, err := change.Keyring.Message()
-		if err != nil {
-			return Keyring{}, err
+		if next.Epoch <= k.Epoch {
+			continue
 		}
-		if _, err := ring.check(message, change.Signatures); err != nil {
-			return Keyring{}, fmt.Errorf("%w: rotation to epoch %d: %w", ErrKeyring, change.Keyring.Epoch, err)
+		if err := change.follows(ring); err != nil {
+			return nil, err
 		}
-		ring = change.Keyring
+		rings = append(rings, next)
+	}
+	return rings, nil
+}
+
+func (c KeyringChange) follows(ring Keyring) error {
+	if c.Keyring.Epoch != ring.Epoch+1 {
+		return fmt.Errorf("%w: epoch %d follows %d", ErrKeyring, c.Keyring.Epoch, ring.Epoch)
+	}
+	if err := c.Keyring.Validate(); err != nil {
+		return err
+	}
+	message, err := c.Keyring.Message()
+	if err != nil {
+		return err
+	}
+	if _, err := ring.check(message, c.Signatures); err != nil {
+		return fmt.Errorf("%w: rotation to epoch %d: %w", ErrKeyring, c.Keyring.Epoch, err)
 	}
-	return ring, nil
+	return nil
+}
+
+// Sign adds or replaces the signer's signature of the rotation.
+func (c *KeyringChange) Sign(signer string, key ed25519.PrivateKey) error {
+	message, err := c.Keyring.Message()
+	if err != nil {
+		return err
+	}
+	c.Signatures = setSignature(c.Signatures, Signature{Signer: signer, Signature: ed25519.Sign(key, message)})
+	return nil
 }
 
 // check returns the distinct signers whose signatures match. Any signature that does not match refuses the whole.
@@ -99,7 +142,7 @@
 		if !ok {
 			return nil, fmt.Errorf("%w: %q", ErrUnknownSigner, sig.Signer)
 		}
-		if !ed25519.Verify(public, message, sig.Signature) {
+		if len(public) != ed25519.PublicKeySize || !ed25519.Verify(public, message, sig.Signature) {
 			return nil, fmt.Errorf("%w: signer %q", ErrBadSignature, sig.Signer)
 		}
 		if !seen[sig.Signer] {
--- a/bundle/sign.go
+++ b/bundle/sign.go
@@ -1,6 +1,7 @@
 package bundle
 
 import (
+	"bytes"
 	"crypto/ed25519"
 	"encoding/json"
 	"errors"
@@ -27,8 +28,16 @@
 	Signers []string
 	// Raw is the signed encoding, for relaying.
 	Raw []byte
+	// Payload is the canonical encoding within Raw. It is the same bytes for every bundle of this digest, whoever
+	// signed it.
+	Payload []byte
+	// Keyrings is the chain of trust from the root keyring to the one that signed the bundle.
+	Keyrings []Keyring
 }
 
+// Keyring returns the keyring that signed the bundle.
+func (v *Verified) Keyring() Keyring { return v.Keyrings[len(v.Keyrings)-1] }
+
 // Errors of verification.
 var (
 	ErrTooLarge      = errors.New("bundle is larger than 1 MB")
@@ -48,13 +57,17 @@
 // Sign adds or replaces the signer's signature.
 func (s *Signed) Sign(signer string, key ed25519.PrivateKey) {
 	sig := Signature{Signer: signer, Signature: ed25519.Sign(key, signedMessage(s.Payload))}
-	for i := range s.Signatures {
-		if s.Signatures[i].Signer == signer {
-			s.Signatures[i] = sig
-			return
+	s.Signatures = setSignature(s.Signatures, sig)
+}
+
+func setSignature(list []Signature, sig Signature) []Signature {
+	for i := range list {
+		if list[i].Signer == sig.Signer {
+			list[i] = sig
+			return list
 		}
 	}
-	s.Signatures = append(s.Signatures, sig)
+	return append(list, sig)
 }
 
 // NewSigned wraps a bundle in its canonical encoding, without signatures.
@@ -75,7 +88,8 @@
 	return data, nil
 }
 
-// DecodeSigned parses the published form without checking signatures.
+// DecodeSigned parses the published form without checking signatures. Only the form that Encode returns is accepted,
+// because duplicate keys or keys in another case would let two programs read two bundles from one document.
 func DecodeSigned(raw []byte) (*Signed, error) {
 	if len(raw) > MaxBytes {
 		return nil, fmt.Errorf("%w: %d bytes", ErrTooLarge, len(raw))
@@ -84,6 +98,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("decode signed bundle: %w", err)
 	}
+	again, err := s.Encode()
+	if err != nil {
+		return nil, err
+	}
+	if !bytes.Equal(again, bytes.TrimSuffix(raw, []byte("\n"))) {
+		return nil, fmt.Errorf("decode signed bundle: %w", ErrNotCanonical)
+	}
 	return s, nil
 }
 
@@ -100,16 +121,17 @@
 	if faults := b.Validate(); len(faults) > 0 {
 		return nil, &InvalidError{Faults: faults}
 	}
-	ring, err := root.Follow(b.Rotations)
+	rings, err := root.Chain(b.Rotations)
 	if err != nil {
 		return nil, err
 	}
-	signers, err := ring.check(signedMessage(s.Payload), s.Signatures)
+	signers, err := rings[len(rings)-1].check(signedMessage(s.Payload), s.Signatures)
 	if err != nil {
 		return nil, err
 	}
 	if len(signers) < b.Policy.RequiredSigners {
 		return nil, fmt.Errorf("%w: policy asks for %d signers, %d signed", ErrUnsigned, b.Policy.RequiredSigners, len(signers))
 	}
-	return &Verified{Bundle: b, Digest: DigestOf(s.Payload), Signers: signers, Raw: raw}, nil
+	return &Verified{Bundle: b, Digest: DigestOf(s.Payload), Signers: signers, Raw: raw,
+		Payload: s.Payload, Keyrings: rings}, nil
 }
--- a/config/config.go
+++ b/config/config.go
@@ -3,7 +3,8 @@
 package config
 
 import (
-	"fmt"
+	"bytes"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -54,17 +55,40 @@
 	InForce *InForce
 }
 
+// Alarm says that two bundles were signed with one version. It stays until a higher version is accepted.
+type Alarm struct {
+	Version uint64
+	InForce bundle.Digest
+	// Offered are the distinct contents that were refused, the latest last, up to maxAlarmDigests of them. Signers
+	// signed the latest.
+	Offered []bundle.Digest
+	Signers []string
+	Since   time.Time
+	// Count is how many conflicting offers this version has had.
+	Count uint64
+}
+
+// maxAlarmDigests bounds the contents that an alarm names. More than two are already a fault of the operators' tools.
+const maxAlarmDigests = 8
+
+// Names reports whether the alarm already names the digest, or can name no more.
+func (a *Alarm) Names(digest []byte) bool {
+	return len(a.Offered) >= maxAlarmDigests ||
+		slices.ContainsFunc(a.Offered, func(d bundle.Digest) bool { return bytes.Equal(d[:], digest) })
+}
+
 // Store holds the bundle in force.
 type Store struct {
 	clock clockwork.Clock
 	root  bundle.Keyring
 
 	current   atomic.Pointer[InForce]
+	alarm     atomic.Pointer[Alarm]
 	conflicts atomic.Uint64
 
-	// mu serialises acceptance; readers do not take it.
+	// mu serialises acceptance; readers do not take it, and no listener runs under it.
 	mu        sync.Mutex
-	listeners []func(*InForce)
+	listeners []*listener
 }
 
 // NewStore returns an empty store that trusts the root keyring.
@@ -78,53 +102,73 @@
 // Conflicts returns how many offers carried the version in force with another content.
 func (s *Store) Conflicts() uint64 { return s.conflicts.Load() }
 
-// OnChange registers a function that is called, in order and one at a time, after each acceptance. It must not
-// block: the next acceptance waits for it.
-func (s *Store) OnChange(f func(*InForce)) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.listeners = append(s.listeners, f)
-	if cur := s.current.Load(); cur != nil {
-		f(cur)
-	}
-}
+// Alarm returns the conflict of the version in force, or nil.
+func (s *Store) Alarm() *Alarm { return s.alarm.Load() }
+
+// Offer verifies a signed bundle and puts it in force if the rules allow it. It returns when the listeners have
+// run, or after listenerWait.
+func (s *Store) Offer(raw []byte) Decision { return s.offer(raw, false) }
 
-// Offer verifies a signed bundle and puts it in force if its version is higher than the one in force.
-func (s *Store) Offer(raw []byte) Decision {
+// OfferUnconfirmed is Offer for a bundle that was read while no peer could be asked for a newer one.
+func (s *Store) OfferUnconfirmed(raw []byte) Decision { return s.offer(raw, true) }
+
+func (s *Store) offer(raw []byte, unconfirmed bool) Decision {
 	verified, err := bundle.Verify(raw, s.root)
 	if err != nil {
 		return Decision{Verdict: Refused, Reason: err.Error(), InForce: s.Current()}
 	}
+	d := s.decide(verified, unconfirmed)
+	if d.Verdict == Accepted {
+		s.notify()
+	}
+	return d
+}
+
+func (s *Store) decide(offered *bundle.Verified, unconfirmed bool) Decision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	cur := s.current.Load()
+	next := &InForce{Verified: offered, Since: s.clock.Now(), Unconfirmed: unconfirmed}
 	if cur != nil {
-		if d, done := s.compare(cur, verified); done {
-			return d
+		verdict, reason := Judge(cur.Verified, offered)
+		if verdict == Conflict {
+			s.raise(cur.Verified, offered)
+		}
+		if verdict != Accepted {
+			return Decision{Verdict: verdict, Reason: reason, InForce: cur}
 		}
-	}
-	next := &InForce{Verified: verified, Since: s.clock.Now()}
-	if cur != nil {
 		next.Previous = cur.Verified
 	}
 	s.current.Store(next)
-	for _, f := range s.listeners {
-		f(next)
-	}
+	s.alarm.Store(nil)
 	return Decision{Verdict: Accepted, InForce: next}
 }
 
-func (s *Store) compare(cur *InForce, offered *bundle.Verified) (Decision, bool) {
-	have, got := cur.Bundle.Version, offered.Bundle.Version
-	switch {
-	case got < have:
-		return Decision{Verdict: Older, Reason: fmt.Sprintf("version %d is lower than %d in force", got, have), InForce: cur}, true
-	case got == have && offered.Digest == cur.Digest:
-		return Decision{Verdict: Same, InForce: cur}, true
-	case got == have:
-		s.conflicts.Add(1)
-		reason := fmt.Sprintf("version %d has digest %s in force, offered %s", have, cur.Digest.Short(), offered.Digest.Short())
-		return Decision{Verdict: Conflict, Reason: reason, InForce: cur}, true
+func (s *Store) raise(cur, offered *bundle.Verified) {
+	s.conflicts.Add(1)
+	alarm := &Alarm{Version: cur.Bundle.Version, InForce: cur.Digest, Offered: []bundle.Digest{offered.Digest},
+		Signers: offered.Signers, Since: s.clock.Now(), Count: 1}
+	if old := s.alarm.Load(); old != nil {
+		alarm.Since, alarm.Count = old.Since, old.Count+1
+		if old.Names(offered.Digest[:]) {
+			alarm.Offered = old.Offered
+		} else {
+			alarm.Offered = append(slices.Clone(old.Offered), offered.Digest)
+		}
+	}
+	s.alarm.Store(alarm)
+}
+
+// Confirm records that a peer was asked and knows no newer version than the one in force. Listeners are not told,
+// because the bundle stays the same.
+func (s *Store) Confirm() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	cur := s.current.Load()
+	if cur == nil || !cur.Unconfirmed {
+		return
 	}
-	return Decision{}, false
+	confirmed := *cur
+	confirmed.Unconfirmed = false
+	s.current.Store(&confirmed)
 }
--- a/plugin/configuration/configuration.go
+++ b/plugin/configuration/configuration.go
@@ -1,34 +1,34 @@
-// Package configuration is the plug-in that keeps the bundle in force: it watches the platform and offers what it
-// reads to the store.
+// Package configuration is the plug-in that keeps the bundle in force and spreads it: it joins the config store, the
+// platform and the peers.
 package configuration
 
 import (
 	"context"
+	"fmt"
+	"net/http"
 	"sync"
-	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/jonboulle/clockwork"
+	"go.opentelemetry.io/otel/metric"
 	"go.uber.org/fx"
 
 	"teaselbank.example/teaselbank/config"
+	"teaselbank.example/teaselbank/distribution"
 	"teaselbank.example/teaselbank/kernel"
+	"teaselbank.example/teaselbank/membership"
 	"teaselbank.example/teaselbank/platformclient"
+	"teaselbank.example/teaselbank/plugin/peerapi"
 	"teaselbank.example/teaselbank/settings"
 )
 
-// Timing of the platform watch.
-const (
-	watchWait  = 30 * time.Second
-	retryDelay = time.Second
-)
-
 func init() {
 	kernel.Register(kernel.Plugin{Name: "configuration", Options: func() fx.Option {
 		return fx.Options(
-			fx.Provide(newStore, newPlatform),
+			fx.Provide(newStore, newPlatform, newDistributor, distribution.NewServer),
 			fx.Provide(func(s *config.Store) config.Source { return s }),
-			fx.Invoke(watch),
+			fx.Provide(fx.Annotate(newHandler, fx.ResultTags(peerapi.Group))),
+			fx.Invoke(run, observe),
 		)
 	}})
 }
@@ -41,58 +41,71 @@
 	return platformclient.New(s.PlatformURL)
 }
 
-func watch(lc fx.Lifecycle, store *config.Store, platform *platformclient.Client, logger *log.Logger) {
+func newDistributor(clock clockwork.Clock, s *settings.Settings, store *config.Store, viewer membership.Viewer,
+	platform *platformclient.Client, client *http.Client, logger *log.Logger) *distribution.Distributor {
+	return distribution.New(distribution.Options{Clock: clock, Store: store, Viewer: viewer, Platform: platform,
+		Transport: distribution.NewClient(client), PeerGrace: s.PeerGrace, Logger: logger.With("component", "config")})
+}
+
+func newHandler(s *distribution.Server) peerapi.Handler {
+	path, handler := s.Handler()
+	return peerapi.Handler{Path: path, Handler: handler}
+}
+
+func run(lc fx.Lifecycle, d *distribution.Distributor) {
 	ctx, cancel := context.WithCancel(context.Background())
-	var watcher sync.WaitGroup
+	var running sync.WaitGroup
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			watcher.Go(func() { watchPlatform(ctx, store, platform, logger.With("component", "config")) })
+			running.Go(func() { d.Run(ctx) })
 			return nil
 		},
 		OnStop: func(context.Context) error {
 			cancel()
-			watcher.Wait()
+			running.Wait()
 			return nil
 		},
 	})
 }
 
-func watchPlatform(ctx context.Context, store *config.Store, platform *platformclient.Client, logger *log.Logger) {
-	for ctx.Err() == nil {
-		var have uint64
-		if cur := store.Current(); cur != nil {
-			have = cur.Bundle.Version
-		}
-		raw, err := platform.Bundle(ctx, have, watchWait)
-		if err != nil && ctx.Err() == nil {
-			logger.Warn("platform_read_failed", "err", err)
-		}
-		if raw != nil {
-			logDecision(logger, store.Offer(raw))
-			continue
-		}
+// observe exposes the counters of the distributor and of the store.
+func observe(meter metric.Meter, store *config.Store, d *distribution.Distributor) error {
+	stats := d.Stats()
+	for _, c := range []struct {
+		name string
+		load func() uint64
+	}{
+		{"config_conflicts", store.Conflicts},
+		{"config_pushes", stats.PushesSent.Load},
+		{"config_push_errors", stats.PushErrors.Load},
+		{"config_need_whole", stats.NeedWhole.Load},
+		{"config_fetches", stats.FetchesSent.Load},
+		{"config_fetch_errors", stats.FetchErrors.Load},
+		{"config_whole_bytes", stats.WholeBytes.Load},
+		{"config_delta_bytes", stats.DeltaBytes.Load},
+		{"config_platform_reads", stats.PlatformReads.Load},
+		{"config_platform_errors", stats.PlatformFails.Load},
+		{"config_refused", stats.Refused.Load},
+	} {
+		_, err := meter.Int64ObservableCounter(c.name, metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			o.Observe(int64(c.load()))
+			return nil
+		}))
 		if err != nil {
-			sleep(ctx, retryDelay)
+			return fmt.Errorf("metric %s: %w", c.name, err)
 		}
 	}
-}
-
-func logDecision(logger *log.Logger, d config.Decision) {
-	fields := []any{"verdict", d.Verdict, "reason", d.Reason}
-	if d.InForce != nil {
-		fields = append(fields, "version", d.InForce.Bundle.Version, "digest", d.InForce.Digest.Short(),
-			"author", d.InForce.Bundle.Author, "signers", d.InForce.Signers)
-	}
-	if d.Verdict == config.Accepted {
-		logger.Info("bundle_offered", fields...)
-		return
-	}
-	logger.Error("bundle_offered", fields...)
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
+	_, err := meter.Int64ObservableGauge("config_conflict", metric.WithDescription("1 while two contents of the version in force are known"),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			if store.Alarm() != nil {
+				o.Observe(1)
+				return nil
+			}
+			o.Observe(0)
+			return nil
+		}))
+	if err != nil {
+		return fmt.Errorf("metric config_conflict: %w", err)
 	}
+	return nil
 }
