Add the operators' tool, and let signed documents have one reading only

Cause: bundles could not be made, reviewed or signed without writing code. A draft or keyring with a key that stands twice, or in another case, was read in a way that a reviewer may not see.

Change: package cli and cmd/teaselbank: bundle keygen, keyring, create, validate, sign, verify, diff, explain; status; search. There is no publish command. bundle: Diff walks every field of the types, Explain, strict reading of drafts, rotations and keyrings; settings read the root keyring in the same way. The status types move to package statusapi, with the conflict alarm.

--- a/bundle/canonical.go
+++ b/bundle/canonical.go
@@ -78,7 +78,7 @@
 // DecodeDraft parses an unsigned bundle written by hand: white space and any order of lists are allowed, unknown
 // fields are not.
 func DecodeDraft(data []byte) (*Bundle, error) {
-	b, err := decodeStrict[Bundle](data)
+	b, err := decodeByHand[Bundle](data)
 	if err != nil {
 		return nil, fmt.Errorf("decode bundle draft: %w", err)
 	}
--- /dev/null
+++ b/bundle/explain.go
@@ -0,0 +1,150 @@
+package bundle
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"teaselbank.example/teaselbank/ident"
+)
+
+// Explanation says what a bundle means.
+type Explanation struct {
+	Version  uint64           `json:"version"`
+	Digest   string           `json:"digest"`
+	Name     string           `json:"name"`
+	Author   string           `json:"author"`
+	Reviewer string           `json:"reviewer"`
+	Reason   string           `json:"reason"`
+	Zones    []ZoneMeaning    `json:"zones"`
+	Services []ServiceMeaning `json:"services"`
+	Policy   Policy           `json:"policy"`
+	Keyrings []KeyringMeaning `json:"keyrings"`
+	Signers  []string         `json:"signers"`
+}
+
+// ZoneMeaning is one availability zone with its targets.
+type ZoneMeaning struct {
+	ID            ident.Zone `json:"id"`
+	State         ZoneState  `json:"state"`
+	ReturnSeconds int        `json:"return_seconds"`
+	Targets       int        `json:"targets"`
+	Leaving       int        `json:"leaving"`
+}
+
+// ServiceMeaning is one service with its targets by zone.
+type ServiceMeaning struct {
+	ID             ident.ServiceID    `json:"id"`
+	Slots          int                `json:"slots"`
+	ColdSlots      int                `json:"cold_slots"`
+	Connections    int                `json:"connections"`
+	TargetsByZone  map[ident.Zone]int `json:"targets_by_zone"`
+	Snapshots      int                `json:"snapshots"`
+	NewestSnapshot ident.SnapshotID   `json:"newest_snapshot"`
+	Shards         int                `json:"shards"`
+	// FewestReplicas is the least count of replicas of a shard of the newest snapshot in zones that are in.
+	FewestReplicas int `json:"fewest_replicas"`
+}
+
+// KeyringMeaning is one rotation.
+type KeyringMeaning struct {
+	Epoch   uint64 `json:"epoch"`
+	Meaning string `json:"meaning"`
+}
+
+// Explain says what a bundle means. The signers are those named by its signatures.
+func Explain(b *Bundle, digest Digest, signers []string) Explanation {
+	e := Explanation{Version: b.Version, Digest: digest.String(), Name: b.Name, Author: b.Author, Reviewer: b.Reviewer,
+		Reason: b.Reason, Policy: b.Policy, Signers: signers}
+	for _, z := range b.Zones {
+		e.Zones = append(e.Zones, explainZone(b, z))
+	}
+	for i := range b.Services {
+		e.Services = append(e.Services, explainService(b, &b.Services[i]))
+	}
+	for _, r := range b.Rotations {
+		e.Keyrings = append(e.Keyrings, KeyringMeaning{Epoch: r.Keyring.Epoch, Meaning: describeKeyring(r.Keyring)})
+	}
+	return e
+}
+
+func explainZone(b *Bundle, z Zone) ZoneMeaning {
+	m := ZoneMeaning{ID: z.ID, State: z.State, ReturnSeconds: z.ReturnSeconds}
+	for _, s := range b.Services {
+		for _, t := range s.Targets {
+			if t.Zone != z.ID {
+				continue
+			}
+			m.Targets++
+			if t.State == TargetLeaving {
+				m.Leaving++
+			}
+		}
+	}
+	return m
+}
+
+func explainService(b *Bundle, s *Service) ServiceMeaning {
+	m := ServiceMeaning{ID: s.ID, Slots: s.Slots, ColdSlots: s.ColdSlots, Connections: s.Connections,
+		TargetsByZone: map[ident.Zone]int{}, Snapshots: len(s.Snapshots)}
+	usable := map[ident.TargetID]bool{}
+	for _, t := range s.Targets {
+		m.TargetsByZone[t.Zone]++
+		z := b.ZoneByID(t.Zone)
+		usable[t.ID] = t.State == TargetServing && z != nil && z.State == ZoneIn
+	}
+	if len(s.Snapshots) == 0 {
+		return m
+	}
+	newest := s.Snapshots[len(s.Snapshots)-1]
+	m.NewestSnapshot, m.Shards = newest.ID, len(newest.Shards)
+	for i, shard := range newest.Shards {
+		n := 0
+		for _, r := range shard.Replicas {
+			if usable[r] {
+				n++
+			}
+		}
+		if i == 0 || n < m.FewestReplicas {
+			m.FewestReplicas = n
+		}
+	}
+	return m
+}
+
+// Lines returns the explanation as text.
+func (e Explanation) Lines() []string {
+	lines := []string{
+		fmt.Sprintf("bundle %d %q, digest %s", e.Version, e.Name, e.Digest),
+		fmt.Sprintf("author %s, reviewer %s, signed by %s", e.Author, e.Reviewer, strings.Join(e.Signers, ", ")),
+		fmt.Sprintf("reason: %s", e.Reason),
+	}
+	for _, z := range e.Zones {
+		lines = append(lines, fmt.Sprintf("zone %s is %s: %d targets, %d of them leaving; work returns over %d s", z.ID, z.State,
+			z.Targets, z.Leaving, z.ReturnSeconds))
+	}
+	for _, s := range e.Services {
+		lines = append(lines, s.line())
+	}
+	p := e.Policy
+	lines = append(lines, fmt.Sprintf("policy: %d signers, %d%% extra load, deadline %d ms unless stated, at most %d ms",
+		p.RequiredSigners, p.ExtraLoadPercent, p.DefaultDeadlineMillis, p.MaxDeadlineMillis))
+	for _, k := range e.Keyrings {
+		lines = append(lines, fmt.Sprintf("keyring epoch %d: %s", k.Epoch, k.Meaning))
+	}
+	return lines
+}
+
+func (s ServiceMeaning) line() string {
+	var zones []string
+	for _, z := range slices.Sorted(maps.Keys(s.TargetsByZone)) {
+		zones = append(zones, fmt.Sprintf("%s %d", z, s.TargetsByZone[z]))
+	}
+	line := fmt.Sprintf("service %s: targets %s; %d slots, %d cold, %d connections each; snapshot %s of %d with %d shards", s.ID,
+		strings.Join(zones, ", "), s.Slots, s.ColdSlots, s.Connections, s.NewestSnapshot, s.Snapshots, s.Shards)
+	if s.FewestReplicas == 0 {
+		return line + "; WARNING: a shard has no usable replica"
+	}
+	return line + fmt.Sprintf(", at least %d usable replicas each", s.FewestReplicas)
+}
--- /dev/null
+++ b/bundle/trust_test.go
@@ -0,0 +1,165 @@
+package bundle_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"teaselbank.example/teaselbank/bundle"
+	"teaselbank.example/teaselbank/standin/bundles"
+)
+
+func withRotations(changes ...bundle.KeyringChange) *bundle.Bundle {
+	b := bundles.Small(5)
+	b.Rotations = changes
+	return b
+}
+
+// Trust must pass from keyring to keyring, each vouched for by the one before, and a retired signer is out.
+func TestRotationChain(t *testing.T) {
+	root, second, third := bundles.NewSigners(0, "ana", "ion"), bundles.NewSigners(1, "ion", "maria"), bundles.NewSigners(2, "vasile")
+	chain := []bundle.KeyringChange{root.Rotate(second), second.Rotate(third)}
+	v, err := bundle.Verify(third.Sign(withRotations(chain...)), root.Ring)
+	require.NoError(t, err)
+	require.Equal(t, uint64(2), v.Keyring().Epoch)
+	require.Len(t, v.Keyrings, 3)
+	_, err = bundle.Verify(third.Sign(withRotations(chain...)), second.Ring)
+	require.NoError(t, err, "settings may carry a later root")
+
+	_, err = bundle.Verify(root.Sign(withRotations(chain...)), root.Ring)
+	require.ErrorIs(t, err, bundle.ErrUnknownSigner)
+	_, err = bundle.Verify(second.Sign(withRotations(chain...)), root.Ring)
+	require.ErrorIs(t, err, bundle.ErrUnknownSigner)
+	for name, bad := range map[string][]bundle.KeyringChange{
+		"gap":                {chain[1]},
+		"order":              {chain[1], chain[0]},
+		"twice":              {chain[0], chain[0], chain[1]},
+		"not by predecessor": {chain[0], root.Rotate(third)},
+	} {
+		_, err = bundle.Verify(third.Sign(withRotations(bad...)), root.Ring)
+		require.ErrorIs(t, err, bundle.ErrKeyring, name)
+	}
+	back := append(append([]bundle.KeyringChange{}, chain...), chain[0])
+	_, err = bundle.Verify(third.Sign(withRotations(back...)), second.Ring)
+	require.ErrorIs(t, err, bundle.ErrKeyring, "a rotation back that a later root skips")
+	forged := bundles.NewSigners(0, "eve")
+	_, err = bundle.Verify(third.Sign(withRotations(append([]bundle.KeyringChange{forged.Rotate(forged)}, chain...)...)), root.Ring)
+	require.ErrorIs(t, err, bundle.ErrKeyring, "another keyring of the root's epoch")
+}
+
+// One person must not count twice, and a rotation needs the old threshold.
+func TestThreshold(t *testing.T) {
+	root, next := bundles.NewSigners(0, "ana", "ion"), bundles.NewSigners(1, "maria")
+	half := bundle.KeyringChange{Keyring: next.Ring}
+	require.NoError(t, half.Sign("ana", root.Key("ana")))
+	_, err := bundle.Verify(next.Sign(withRotations(half)), root.Ring)
+	require.ErrorIs(t, err, bundle.ErrUnsigned)
+	half.Signatures = append(half.Signatures, half.Signatures[0])
+	_, err = bundle.Verify(next.Sign(withRotations(half)), root.Ring)
+	require.ErrorIs(t, err, bundle.ErrUnsigned)
+}
+
+// A signature made for one kind of document must not serve for the other.
+func TestSignaturesAreBoundToTheirKind(t *testing.T) {
+	root, next := bundles.NewSigners(0, "ana"), bundles.NewSigners(1, "maria")
+	b := bundles.Small(1)
+	signed, err := bundle.NewSigned(b)
+	require.NoError(t, err)
+	change := root.Rotate(next)
+
+	crossed := bundle.KeyringChange{Keyring: next.Ring}
+	asBundle := bundle.Signed{}
+	asBundle.Payload, err = json.Marshal(next.Ring)
+	require.NoError(t, err)
+	asBundle.Sign("ana", root.Key("ana"))
+	crossed.Signatures = asBundle.Signatures
+	_, err = root.Ring.Follow([]bundle.KeyringChange{crossed})
+	require.ErrorIs(t, err, bundle.ErrBadSignature)
+
+	signed.Signatures = change.Signatures
+	raw, err := signed.Encode()
+	require.NoError(t, err)
+	_, err = bundle.Verify(raw, root.Ring)
+	require.ErrorIs(t, err, bundle.ErrBadSignature)
+}
+
+// One document must have one reading, in the envelope and in the payload.
+func TestOneReading(t *testing.T) {
+	root := bundles.NewSigners(0, "ana")
+	raw := string(root.Sign(bundles.Small(1)))
+	_, err := bundle.Verify([]byte(raw+"\n"), root.Ring)
+	require.NoError(t, err)
+	for name, other := range map[string]string{
+		"duplicate payload":   strings.Replace(raw, `{"payload":`, `{"payload":{},"payload":`, 1),
+		"other case":          strings.Replace(raw, `"signatures":`, `"Signatures":`, 1),
+		"duplicate in bundle": strings.Replace(raw, `"version":1`, `"version":9,"version":1`, 1),
+		"case in bundle":      strings.Replace(raw, `"version":1`, `"VERSION":1`, 1),
+		"white space":         strings.Replace(raw, `"version":1`, `"version": 1`, 1),
+		"second document":     raw + raw,
+	} {
+		require.NotEqual(t, raw, other, name)
+		_, err := bundle.Verify([]byte(other), root.Ring)
+		require.Error(t, err, name)
+	}
+	_, err = bundle.Verify(make([]byte, bundle.MaxBytes+1), root.Ring)
+	require.ErrorIs(t, err, bundle.ErrTooLarge)
+	for _, draft := range []string{`{"version":1,"version":2}`, `{"VERSION":1}`, `{"ver\u017fion":1}`} {
+		_, err := bundle.DecodeDraft([]byte(draft))
+		require.ErrorIs(t, err, bundle.ErrAmbiguous, draft)
+	}
+}
+
+// A change that the diff leaves out would be signed without review.
+func TestDiff(t *testing.T) {
+	from, to := bundles.Sized(1, 2, 4, 2), bundles.Sized(2, 2, 4, 2)
+	to.Zones[1].State = bundle.ZoneOut
+	to.Policy.ExtraLoadPercent = 6
+	s := &to.Services[0]
+	s.Targets[0].State = bundle.TargetLeaving
+	s.Targets = s.Targets[:3]
+	s.Snapshots[0].Shards[0].Replicas = s.Snapshots[0].Shards[0].Replicas[1:]
+	s.Snapshots[0], s.Snapshots[1] = s.Snapshots[1], s.Snapshots[0]
+	to.Rotations = []bundle.KeyringChange{bundles.NewSigners(0, "ana").Rotate(bundles.NewSigners(1, "ion"))}
+	var text strings.Builder
+	for _, c := range bundle.Diff(from, to) {
+		text.WriteString(c.String() + "\n")
+	}
+	for _, want := range []string{
+		"version: 1 -> 2", `zones.zone-1.state: "in" -> "out" (no new work goes`, "policy.extra_load_percent: 5 -> 6",
+		"services.service-0000.targets.target-00000.state", "services.service-0000.targets.target-00003: removed",
+		"snapshots: order changes", "shards.shard-00.replicas", "rotations.epoch-1: added (1 of ion must sign)",
+	} {
+		require.Contains(t, text.String(), want)
+	}
+	require.Empty(t, bundle.Diff(from, from))
+	line := strings.Join(bundle.Explain(to, bundle.Digest{}, nil).Lines(), "\n")
+	require.Contains(t, line, "zone zone-1 is out: 1 targets, 0 of them leaving")
+}
+
+// Bundles come from the platform and from peers; no bytes may make the parser panic, and what it accepts has one form.
+func FuzzDecode(f *testing.F) {
+	root := bundles.NewSigners(0, "ana")
+	f.Add(root.Sign(bundles.Small(1)))
+	f.Add(root.Sign(withRotations(root.Rotate(bundles.NewSigners(1, "ion")))))
+	f.Add([]byte(`{"version":1,"zones":[{"id":"a"}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if v, err := bundle.Verify(data, root.Ring); err == nil {
+			again, err := v.Bundle.Canonical()
+			require.NoError(t, err)
+			require.Equal(t, string(v.Payload), string(again))
+		}
+		if b, err := bundle.DecodeDraft(data); err == nil {
+			_ = b.Validate()
+			_ = bundle.Diff(b, bundles.Small(1))
+			_ = bundle.Explain(b, bundle.Digest{}, nil).Lines()
+			canonical, err := b.Canonical()
+			require.NoError(t, err)
+			if _, err := bundle.DecodeCanonical(canonical); err != nil && !bytes.Contains(canonical, []byte("null")) {
+				t.Fatalf("canonical form of a draft is refused: %v", err)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/cli/cli_test.go
@@ -0,0 +1,175 @@
+package cli_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"teaselbank.example/teaselbank/cli"
+	"teaselbank.example/teaselbank/plugin/callerapi"
+	"teaselbank.example/teaselbank/statusapi"
+)
+
+type shell struct {
+	t   *testing.T
+	dir string
+}
+
+func (s shell) path(name string) string { return filepath.Join(s.dir, name) }
+
+// run executes a command line; words that start with @ are files in the test's directory.
+func (s shell) run(want int, line string) (out, errOut string) {
+	s.t.Helper()
+	args := strings.Fields(line)
+	for i, a := range args {
+		if name, ok := strings.CutPrefix(a, "@"); ok {
+			args[i] = s.path(name)
+		}
+	}
+	var o, e bytes.Buffer
+	code := cli.Run(s.t.Context(), args, strings.NewReader(""), &o, &e)
+	require.Equal(s.t, want, code, "%s\n%s%s", line, o.String(), e.String())
+	return o.String(), e.String()
+}
+
+func (s shell) edit(name, from, to string) {
+	data, err := os.ReadFile(s.path(name))
+	require.NoError(s.t, err)
+	require.Contains(s.t, string(data), from)
+	require.NoError(s.t, os.WriteFile(s.path(name), []byte(strings.Replace(string(data), from, to, 1)), 0o600))
+}
+
+// signers makes key pairs and a root keyring that needs both.
+func newShell(t *testing.T) shell {
+	s := shell{t, t.TempDir()}
+	for _, name := range []string{"ana", "ion", "maria"} {
+		s.run(cli.ExitOK, fmt.Sprintf("bundle keygen --signer %s --private @%s.key --public @%s.pub", name, name, name))
+	}
+	s.run(cli.ExitOK, "bundle keyring --key @ana.pub --key @ion.pub --threshold 2 --out @root")
+	s.run(cli.ExitOK, "bundle create --author ana --reviewer ion --reason first --out @draft")
+	return s
+}
+
+// The whole way of a bundle: two people sign in turn, and one signature is not enough.
+func TestSignInTurn(t *testing.T) {
+	s := newShell(t)
+	s.run(cli.ExitOK, "bundle validate @draft")
+	s.run(cli.ExitOK, "bundle sign --private @ana.key --keyring @root --out @one @draft")
+	_, fault := s.run(cli.ExitRefused, "bundle verify --keyring @root @one")
+	require.Contains(t, fault, "too few valid signatures")
+	s.run(cli.ExitOK, "bundle sign --private @ion.key --signer ion --out @two @one")
+	out, _ := s.run(cli.ExitOK, "--output json bundle verify --keyring @root @two")
+	require.Contains(t, out, `"ion"`)
+	out, _ = s.run(cli.ExitOK, "bundle explain @two")
+	require.Contains(t, out, "signed by ana, ion")
+	require.Contains(t, out, "zone zone-a is in: 1 targets")
+}
+
+// A rotation is signed by people of the old keyring in turn; afterwards the retired signer is refused.
+func TestRotateKeyring(t *testing.T) {
+	s := newShell(t)
+	s.run(cli.ExitOK, "bundle keyring --after @root --key @maria.pub --key @ion.pub --threshold 2 --out @rotation")
+	s.run(cli.ExitOK, "bundle keyring --sign @rotation --private @ana.key --out @rotation1")
+	s.run(cli.ExitOK, "bundle keyring --sign @rotation1 --private @ion.key --out @rotation2")
+	s.run(cli.ExitOK, "bundle create --from @draft --author ana --reviewer ion --reason rotate --rotation @rotation2 --out @draft2")
+	_, fault := s.run(cli.ExitRefused, "bundle sign --private @ana.key --keyring @root @draft2")
+	require.Contains(t, fault, "signer: ana is not in the keyring")
+	s.run(cli.ExitOK, "bundle sign --private @maria.key --keyring @root --out @b1 @draft2")
+	s.run(cli.ExitOK, "bundle sign --private @ion.key --keyring @root --out @b2 @b1")
+	s.run(cli.ExitOK, "bundle verify --keyring @root @b2")
+	s.run(cli.ExitOK, "bundle keyring --sign @rotation2 --next --out @root2")
+	s.run(cli.ExitOK, "bundle verify --keyring @root2 @b2")
+	out, _ := s.run(cli.ExitOK, "bundle diff @draft @draft2")
+	require.Contains(t, out, "rotations.epoch-1: added (2 of maria, ion must sign)")
+}
+
+// Every refusal names the file, the field and the reason.
+func TestRefusalsNameTheFault(t *testing.T) {
+	s := newShell(t)
+	require.NoError(t, os.Chmod(s.path("ana.key"), 0o640))
+	_, fault := s.run(cli.ExitRefused, "bundle sign --private @ana.key @draft")
+	require.Contains(t, fault, "ana.key: mode: 0640")
+	_, fault = s.run(cli.ExitFailure, "bundle keygen --signer ion --private @ion.key")
+	require.Contains(t, fault, "exists")
+	_, fault = s.run(cli.ExitRefused, "bundle sign --private @ion.key --signer ana @draft")
+	require.Contains(t, fault, "ion.key: signer")
+	for _, c := range []struct{ from, to, want string }{
+		{`"slots": 2`, `"slots": 0`, "services.service-a.slots: 0 is not in 1..1024"},
+		{`"slots": 0`, `"slots": "x"`, "services.slots: string cannot be read as int"},
+		{`"slots": "x"`, `"Slots": 2`, `key "Slots"`},
+		{`"Slots": 2`, `"slots": 2, "slots": 3`, `key "slots"`},
+		{`"slots": 2, "slots": 3`, `"slotz": 2`, "slotz"},
+	} {
+		s.edit("draft", c.from, c.to)
+		_, fault = s.run(cli.ExitRefused, "bundle validate @draft")
+		require.Contains(t, fault, c.want)
+		require.Contains(t, fault, "draft: ")
+	}
+}
+
+// Scripts tell wrong usage from failure by the exit code; nothing offers to write to the platform.
+func TestUsage(t *testing.T) {
+	s := shell{t, t.TempDir()}
+	for _, line := range []string{"", "bundle", "bundle publish", "bundle sign", "--output xml bundle create", "status", "bundle create rest"} {
+		_, fault := s.run(cli.ExitUsage, line)
+		require.NotEmpty(t, fault, line)
+	}
+	out, _ := s.run(cli.ExitOK, "--help")
+	require.Contains(t, out, `There is no "bundle publish"`)
+	out, _ = s.run(cli.ExitOK, "--version")
+	require.Contains(t, out, "teaselbank ")
+	s.run(cli.ExitFailure, "bundle validate @missing")
+}
+
+// An operator must see a conflict and an unreachable VM.
+func TestStatus(t *testing.T) {
+	s := shell{t, t.TempDir()}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(statusapi.Status{VM: "vm-1", Zone: "lupeni", Ready: true,
+			Config:   &statusapi.ConfigStatus{Version: 7, Name: "winter", Since: time.Unix(0, 0).UTC(), Unconfirmed: true},
+			Conflict: &statusapi.ConflictStatus{Version: 7, Offered: []string{"abcd"}},
+			Peers:    []statusapi.PeerStatus{{VM: "vm-2", State: "alive"}},
+			Targets:  []statusapi.TargetStatus{{Target: "t1", Owners: []string{"vm-2"}}}})
+	}))
+	defer server.Close()
+	out, _ := s.run(cli.ExitOK, "status --vm "+server.URL)
+	for _, want := range []string{"version 7", "1970-01-01T00:00:00Z", "unconfirmed true", "ALARM config_conflict", "peer vm-2", "target t1"} {
+		require.Contains(t, out, want)
+	}
+	out, _ = s.run(cli.ExitFailure, "status --vm "+server.URL+" --vm http://127.0.0.1:1")
+	require.Contains(t, out, "no answer")
+	require.Contains(t, out, "version 7")
+}
+
+// The tool's request must stay what the daemon reads.
+func TestSearch(t *testing.T) {
+	s := shell{t, t.TempDir()}
+	var got callerapi.SearchRequest
+	outcome := "complete"
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		dec := json.NewDecoder(r.Body)
+		dec.DisallowUnknownFields()
+		if err := dec.Decode(&got); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		_ = json.NewEncoder(w).Encode(callerapi.SearchResponse{Outcome: outcome, Snapshot: "s1",
+			Coverage: callerapi.Coverage{Answered: 2, Expected: 3}})
+	}))
+	defer server.Close()
+	out, _ := s.run(cli.ExitOK, `search --service dispecerat --query {"q":1} --deadline 50ms --min-coverage 0.5 --class urgent --vm `+server.URL)
+	require.Contains(t, out, "complete: 2 of 3 shards, snapshot s1")
+	require.Equal(t, callerapi.SearchRequest{Service: "dispecerat", Query: json.RawMessage(`{"q":1}`), DeadlineMillis: 50, MinCoverage: 0.5, Class: "urgent"}, got)
+	outcome = "not_run"
+	s.run(cli.ExitFailure, `search --service dispecerat --query {} --vm `+server.URL)
+	s.run(cli.ExitUsage, `search --service dispecerat --query {bad --vm `+server.URL)
+}
--- /dev/null
+++ b/cli/remote.go
@@ -0,0 +1,196 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"teaselbank.example/teaselbank/statusapi"
+)
+
+// maxAnswerBytes bounds an answer; a status names up to 3,000 targets.
+const maxAnswerBytes = 16 << 20
+
+type status struct {
+	*env
+	VMs     []string      `long:"vm" required:"true" description:"base URL of a VM's operators' port; may be given several times"`
+	Timeout time.Duration `long:"timeout" default:"3s" description:"how long to wait for a VM"`
+}
+
+// vmStatus is the answer of one VM, or why there is none.
+type vmStatus struct {
+	URL    string            `json:"url"`
+	Error  string            `json:"error,omitempty"`
+	Status *statusapi.Status `json:"status,omitempty"`
+}
+
+// Execute asks every VM at the same time. It fails if any cannot be reached.
+func (c *status) Execute([]string) error {
+	list := make([]vmStatus, len(c.VMs))
+	var calls sync.WaitGroup
+	for i, url := range c.VMs {
+		calls.Go(func() { list[i] = c.ask(url) })
+	}
+	calls.Wait()
+	var lines []string
+	missing := 0
+	for _, s := range list {
+		if s.Status == nil {
+			missing++
+		}
+		lines = append(lines, s.lines()...)
+	}
+	if err := c.result(list, lines...); err != nil {
+		return err
+	}
+	if missing > 0 {
+		return fmt.Errorf("%d of %d VMs did not answer", missing, len(list))
+	}
+	return nil
+}
+
+func (c *status) ask(url string) vmStatus {
+	ctx, cancel := context.WithTimeout(c.ctx, c.Timeout)
+	defer cancel()
+	s := vmStatus{URL: url}
+	code, data, err := call(ctx, http.MethodGet, strings.TrimRight(url, "/")+"/v1/status", nil)
+	if err == nil && code != http.StatusOK {
+		err = fmt.Errorf("HTTP status %d", code)
+	}
+	var got statusapi.Status
+	if err == nil {
+		err = json.Unmarshal(data, &got)
+	}
+	if err != nil {
+		s.Error = err.Error()
+		return s
+	}
+	s.Status = &got
+	return s
+}
+
+func (s vmStatus) lines() []string {
+	if s.Status == nil {
+		return []string{fmt.Sprintf("%s: no answer: %s", s.URL, s.Error)}
+	}
+	st := s.Status
+	lines := []string{fmt.Sprintf("%s: vm %s, zone %s, ready %t, %d config conflicts", s.URL, st.VM, st.Zone, st.Ready, st.Conflicts)}
+	if st.Config == nil {
+		lines = append(lines, "  no bundle in force")
+	} else {
+		lines = append(lines, fmt.Sprintf("  version %d %q in force since %s, digest %s, author %s, reviewer %s, signed by %s, unconfirmed %t",
+			st.Config.Version, st.Config.Name, st.Config.Since.Format(time.RFC3339), st.Config.Digest, st.Config.Author,
+			st.Config.Reviewer, strings.Join(st.Config.Signers, ", "), st.Config.Unconfirmed))
+	}
+	if st.Conflict != nil {
+		lines = append(lines, fmt.Sprintf("  ALARM config_conflict: version %d also exists as %s, signed by %s, since %s; publish a higher version",
+			st.Conflict.Version, strings.Join(st.Conflict.Offered, ", "), strings.Join(st.Conflict.Signers, ", "), st.Conflict.Since.Format(time.RFC3339)))
+	}
+	for _, p := range st.Peers {
+		lines = append(lines, fmt.Sprintf("  peer %s, zone %s, %s, %s", p.VM, p.Zone, p.Address, p.State))
+	}
+	for _, t := range st.Targets {
+		lines = append(lines, fmt.Sprintf("  target %s, service %s, zone %s, %s, owners %s", t.Target, t.Service, t.Zone, t.State, strings.Join(t.Owners, ", ")))
+	}
+	return lines
+}
+
+type search struct {
+	*env
+	VM          string        `long:"vm" required:"true" description:"base URL of a VM's callers' port"`
+	Service     string        `long:"service" required:"true" description:"service to search"`
+	Query       string        `long:"query" required:"true" description:"query as JSON"`
+	Deadline    time.Duration `long:"deadline" description:"how long to wait; the bundle's default without it"`
+	MinCoverage float64       `long:"min-coverage" description:"least share of shards that is accepted, from 0 to 1"`
+	Class       string        `long:"class" choice:"urgent" choice:"normal" choice:"batch" default:"normal" description:"caller class"`
+	Timeout     time.Duration `long:"timeout" default:"70s" description:"bound on the whole call"`
+}
+
+// searchRequest is the body of POST /v1/search.
+type searchRequest struct {
+	Service        string          `json:"service"`
+	Query          json.RawMessage `json:"query"`
+	DeadlineMillis int64           `json:"deadline_millis"`
+	MinCoverage    float64         `json:"min_coverage"`
+	Class          string          `json:"class"`
+}
+
+// searchAnswer is what the text form shows of an answer.
+type searchAnswer struct {
+	Outcome       string `json:"outcome"`
+	Reason        string `json:"reason"`
+	Snapshot      string `json:"snapshot"`
+	ConfigVersion uint64 `json:"config_version"`
+	Coverage      struct {
+		Answered int `json:"answered"`
+		Expected int `json:"expected"`
+	} `json:"coverage"`
+	ElapsedMicros int64 `json:"elapsed_micros"`
+	Results       []struct {
+		Shard string          `json:"shard"`
+		Body  json.RawMessage `json:"body"`
+	} `json:"results"`
+}
+
+// Execute sends one search. It fails unless the outcome is complete or partial.
+func (c *search) Execute([]string) error {
+	if !json.Valid([]byte(c.Query)) {
+		return &usageError{"--query: is not valid JSON"}
+	}
+	body, err := json.Marshal(searchRequest{Service: c.Service, Query: json.RawMessage(c.Query),
+		DeadlineMillis: c.Deadline.Milliseconds(), MinCoverage: c.MinCoverage, Class: c.Class})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, c.Timeout)
+	defer cancel()
+	code, data, err := call(ctx, http.MethodPost, strings.TrimRight(c.VM, "/")+"/v1/search", body)
+	if err != nil {
+		return err
+	}
+	if code == http.StatusBadRequest {
+		return &refusal{c.VM, errors.New(strings.TrimSpace(string(data)))}
+	}
+	var answer searchAnswer
+	if err := json.Unmarshal(data, &answer); err != nil || answer.Outcome == "" {
+		return fmt.Errorf("%s: HTTP status %d: %s", c.VM, code, strings.TrimSpace(string(data)))
+	}
+	if err := c.result(json.RawMessage(data), answer.lines()...); err != nil {
+		return err
+	}
+	if answer.Outcome != "complete" && answer.Outcome != "partial" {
+		return fmt.Errorf("%s: outcome %s: %s", c.VM, answer.Outcome, answer.Reason)
+	}
+	return nil
+}
+
+func (a searchAnswer) lines() []string {
+	lines := []string{fmt.Sprintf("%s: %d of %d shards, snapshot %s, config version %d, %s", a.Outcome, a.Coverage.Answered,
+		a.Coverage.Expected, a.Snapshot, a.ConfigVersion, time.Duration(a.ElapsedMicros)*time.Microsecond)}
+	for _, r := range a.Results {
+		lines = append(lines, fmt.Sprintf("  %s %s", r.Shard, r.Body))
+	}
+	return lines
+}
+
+func call(ctx context.Context, method, url string, body []byte) (int, []byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	return resp.StatusCode, data, err
+}
--- a/plugin/opsapi/opsapi.go
+++ b/plugin/opsapi/opsapi.go
@@ -74,7 +74,8 @@
 func (a *API) status() Status {
 	view := a.viewer.View()
 	s := Status{VM: string(view.Self.ID), Zone: string(view.Self.Zone), Incarnation: view.Self.Incarnation.String(),
-		Ready: a.state.Ready(), Generation: view.Generation, DecisionsDropped: a.decisions.Dropped(), Conflicts: a.store.Conflicts()}
+		Ready: a.state.Ready(), Generation: view.Generation, DecisionsDropped: a.decisions.Dropped(), Conflicts: a.store.Conflicts(),
+		Conflict: conflictStatus(a.store.Alarm())}
 	if force := a.source.Current(); force != nil {
 		s.Config = &ConfigStatus{Version: force.Bundle.Version, Name: force.Bundle.Name, Digest: force.Digest.String(),
 			Author: force.Bundle.Author, Reviewer: force.Bundle.Reviewer, Signers: force.Signers,
--- a/plugin/opsapi/wire.go
+++ b/plugin/opsapi/wire.go
@@ -3,52 +3,34 @@
 import (
 	"slices"
 	"strings"
-	"time"
 
+	"teaselbank.example/teaselbank/config"
 	"teaselbank.example/teaselbank/placement"
+	"teaselbank.example/teaselbank/statusapi"
 )
 
-// Status is this VM's view, as JSON of GET /v1/status.
-type Status struct {
-	VM               string         `json:"vm"`
-	Zone             string         `json:"zone"`
-	Incarnation      string         `json:"incarnation"`
-	Ready            bool           `json:"ready"`
-	Config           *ConfigStatus  `json:"config"`
-	Conflicts        uint64         `json:"config_conflicts"`
-	Generation       uint64         `json:"view_generation"`
-	Peers            []PeerStatus   `json:"peers"`
-	Targets          []TargetStatus `json:"targets"`
-	DecisionsDropped uint64         `json:"decisions_dropped"`
-}
+// Status is the JSON of GET /v1/status; its types stand in statusapi, which the command-line tool uses too.
+type Status = statusapi.Status
 
 // ConfigStatus describes the bundle in force.
-type ConfigStatus struct {
-	Version     uint64    `json:"version"`
-	Name        string    `json:"name"`
-	Digest      string    `json:"digest"`
-	Author      string    `json:"author"`
-	Reviewer    string    `json:"reviewer"`
-	Signers     []string  `json:"signers"`
-	Since       time.Time `json:"since"`
-	Unconfirmed bool      `json:"unconfirmed"`
-}
+type ConfigStatus = statusapi.ConfigStatus
 
 // PeerStatus is one VM of the view.
-type PeerStatus struct {
-	VM      string `json:"vm"`
-	Zone    string `json:"zone"`
-	Address string `json:"address"`
-	State   string `json:"state"`
-}
+type PeerStatus = statusapi.PeerStatus
 
 // TargetStatus is one target of the plan.
-type TargetStatus struct {
-	Target  string   `json:"target"`
-	Service string   `json:"service"`
-	Zone    string   `json:"zone"`
-	State   string   `json:"state"`
-	Owners  []string `json:"owners"`
+type TargetStatus = statusapi.TargetStatus
+
+func conflictStatus(alarm *config.Alarm) *statusapi.ConflictStatus {
+	if alarm == nil {
+		return nil
+	}
+	c := &statusapi.ConflictStatus{Version: alarm.Version, InForce: alarm.InForce.String(), Signers: alarm.Signers,
+		Since: alarm.Since, Count: alarm.Count}
+	for _, digest := range alarm.Offered {
+		c.Offered = append(c.Offered, digest.String())
+	}
+	return c
 }
 
 func targetStatus(t *placement.Target) TargetStatus {
--- a/settings/check.go
+++ b/settings/check.go
@@ -1,7 +1,6 @@
 package settings
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/netip"
 	"net/url"
@@ -10,6 +9,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"teaselbank.example/teaselbank/bundle"
 )
 
 // Bounds of durations.
@@ -106,13 +107,12 @@
 		}
 		raw = data
 	}
-	if err := json.Unmarshal(raw, &s.Root); err != nil {
+	root, err := bundle.DecodeKeyring(raw)
+	if err != nil {
 		c.check(false, "root-keyring", s.RootKeyring, "a keyring as JSON, or @FILE: "+err.Error())
 		return
 	}
-	if err := s.Root.Validate(); err != nil {
-		c.check(false, "root-keyring", s.RootKeyring, err.Error())
-	}
+	s.Root = root
 }
 
 func (c *checker) duration(flag string, value, low, high time.Duration) {
