Detect failures of VMs between themselves

Cause: the view was the platform's list, which lags, so a killed or leaving VM went on receiving work and a restarted process could not be told from the old one.

Change: membership.Node is a SWIM-like failure detector that acts only when called, over a clock, a random source and a transport. Claims have a total order (incarnation, sequence, state), so views converge in whatever order they arrive. A process that wakes from a pause sees a stale view on its first read and refreshes it from a peer. The platform's list seeds and marks leaving VMs; only two VMs of a zone read it every second, the others every 30 s. membership/wire carries the protocol over connect, membership/membersim runs fleets on a fake clock.

Each of these tests fails with its rule switched off: the pause check in View (TestPausedProcessIsStaleAtOnceAndRefreshes), incarnations in the order (TestRestartWithTheSameID, TestWokenOldProcessDoesNotRemoveTheNew, TestViewsConvergeAfterFailures), indirect reachability (TestOneWayPartitionKeepsVMsAndFlagsThem: 3 losses instead of 0), suspicion instead of death out of an answer with all members (TestPartitionHeals: 64 losses instead of 0), the join window (TestWokenOldProcessDoesNotRemoveTheNew). No test fails without the epoch that discards calls cut short by a pause: the indirect probe hides its lack.

--- /dev/null
+++ b/membership/node_test.go
@@ -0,0 +1,167 @@
+package membership_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"teaselbank.example/teaselbank/ident"
+	"teaselbank.example/teaselbank/membership"
+	"teaselbank.example/teaselbank/membership/membersim"
+)
+
+const (
+	alive   = membership.Alive
+	suspect = membership.Suspect
+	leaving = membership.Leaving
+	dead    = membership.Dead
+)
+
+func fleet(t *testing.T, perZone int) *membersim.Fleet {
+	t.Helper()
+	f := membersim.NewFleet(1, perZone, "a", "b", "c")
+	require.True(t, f.Settled(), "the fleet must settle before the failure")
+	return f
+}
+
+func within(f *membersim.Fleet, d time.Duration, cond func() bool) bool {
+	return f.RunUntil(f.Clock.Now().Add(d), cond)
+}
+
+// watchUnusable counts, from now on, how often a view loses a member for which counts returns true.
+func watchUnusable(f *membersim.Fleet, counts func(viewer, m membership.Member) bool) *int {
+	lost := new(int)
+	for _, e := range f.VMs {
+		usable := map[ident.VMID]bool{}
+		e.OnChange(func(v *membership.View) {
+			for _, m := range v.Members {
+				if usable[m.ID] && !m.Usable() && counts(e.Member, m) {
+					*lost++
+				}
+				usable[m.ID] = m.Usable()
+			}
+		})
+	}
+	return lost
+}
+
+func anyMember(_, _ membership.Member) bool { return true }
+
+// Guards against a killed VM that stays in views and gets work.
+func TestKilledVMIsRemovedEverywhere(t *testing.T) {
+	f := fleet(t, 10)
+	f.VMs[3].Stop()
+	id := f.VMs[3].Member.ID
+	require.True(t, within(f, 10*time.Second, func() bool { return f.Knows(id, dead) }))
+	f.ApplyList()
+	f.Run(10 * time.Minute)
+	require.True(t, f.Knows(id, dead), "the list alone must not bring a dead VM back")
+}
+
+// Guards against work that is sent to a VM later than 3 s after it announced that it leaves.
+func TestLeavingVMIsRemovedWithin3s(t *testing.T) {
+	f := fleet(t, 20)
+	told := false
+	f.VMs[7].Leave(func() { told = true })
+	id := f.VMs[7].Member.ID
+	require.True(t, within(f, 3*time.Second, func() bool { return f.Knows(id, leaving) }))
+	require.True(t, told)
+	f.VMs[7].Stop()
+	require.True(t, within(f, 30*time.Second, func() bool { return f.Knows(id, dead) }))
+}
+
+// Guards against a VM that is dropped, or flaps, because one direction between two zones is broken.
+func TestOneWayPartitionKeepsVMsAndFlagsThem(t *testing.T) {
+	f := fleet(t, 4)
+	lost := watchUnusable(f, anyMember)
+	f.CutOneWay("a", "b")
+	f.Run(5 * time.Minute)
+	require.Zero(t, *lost)
+	flagged, _ := f.VMs[0].View().Lookup(f.VMs[4].Member.ID)
+	require.True(t, flagged.Indirect)
+	near, _ := f.VMs[0].View().Lookup(f.VMs[1].Member.ID)
+	require.False(t, near.Indirect)
+	f.Heal()
+	f.Run(2 * time.Minute)
+	flagged, _ = f.VMs[0].View().Lookup(f.VMs[4].Member.ID)
+	require.False(t, flagged.Indirect)
+}
+
+// Guards against flapping under loss in one direction and under loss everywhere.
+func TestLossCausesNoFlapping(t *testing.T) {
+	f := fleet(t, 4)
+	lost := watchUnusable(f, anyMember)
+	f.Lost = func(from, to membership.Member) bool {
+		return (from.Zone == "a" && to.Zone != "a" && f.Rand.IntN(10) < 3) || f.Rand.IntN(10) < 1
+	}
+	f.Run(10 * time.Minute)
+	require.Zero(t, *lost)
+}
+
+// Guards against a zone that stays lost after a partition heals, and against VMs that lose their own neighbours
+// when the two sides exchange what they believe.
+func TestPartitionHeals(t *testing.T) {
+	for _, length := range []time.Duration{time.Minute, time.Hour} {
+		f := fleet(t, 4)
+		f.CutOff("b")
+		f.Run(length)
+		v := f.VMs[4].View()
+		require.Len(t, v.UsableIn("b"), 4, "the zone goes on with its own VMs")
+		require.Empty(t, v.UsableIn("a"))
+		lost := watchUnusable(f, anyMember)
+		f.Heal()
+		require.True(t, within(f, time.Minute, f.Settled), "after %s", length)
+		require.Zero(t, *lost, "after %s", length)
+	}
+}
+
+// Guards against probes to dead members that grow with their number or with the fleet.
+func TestProbesToDeadMembersAreBounded(t *testing.T) {
+	f := fleet(t, 20)
+	for _, e := range f.VMs[:20] {
+		e.Stop()
+	}
+	f.Run(time.Minute)
+	before := f.VMs[30].Stats().DeadProbes
+	f.Run(10 * time.Minute)
+	require.LessOrEqual(t, f.VMs[30].Stats().DeadProbes-before, uint64(60))
+}
+
+// Guards against failures of the data path that wait for the member's turn in the rounds of probes, and against
+// reports that remove a VM which answers.
+func TestReportedFailureIsProbedAtOnce(t *testing.T) {
+	f := fleet(t, 20)
+	e, victim := f.VMs[0], f.VMs[9].Member.ID
+	for range 100 {
+		e.ReportFailure(victim)
+	}
+	require.Equal(t, uint64(1), e.Stats().Reports)
+	f.Run(10 * time.Second)
+	m, _ := e.View().Lookup(victim)
+	require.Equal(t, alive, m.State)
+	f.VMs[9].Stop()
+	e.ReportFailure(victim)
+	require.True(t, within(f, time.Second, func() bool {
+		m, _ = e.View().Lookup(victim)
+		return m.State == suspect
+	}))
+}
+
+type configStub struct{ seen map[ident.VMID]uint64 }
+
+func (c configStub) Version() (uint64, []byte) { return 7, []byte{1} }
+func (c configStub) PeerHas(m membership.Member, version uint64, _ []byte) {
+	c.seen[m.ID] = version
+}
+
+// Guards against probes that do not carry the version in force in both directions.
+func TestProbesCarryConfigVersion(t *testing.T) {
+	n := membersim.New(1)
+	a, b := configStub{map[ident.VMID]uint64{}}, configStub{map[ident.VMID]uint64{}}
+	n.Start("a", "z", a).ApplyList([]membership.Listed{{ID: "b", Zone: "z", Address: membersim.Address("b")}})
+	n.Start("b", "z", b)
+	n.Run(5 * time.Second)
+	require.Equal(t, uint64(7), a.seen["b"])
+	require.Equal(t, uint64(7), b.seen["a"])
+}
--- /dev/null
+++ b/membership/restart_test.go
@@ -0,0 +1,182 @@
+package membership_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"teaselbank.example/teaselbank/ident"
+	"teaselbank.example/teaselbank/membership"
+	"teaselbank.example/teaselbank/membership/membersim"
+)
+
+// Guards against requests routed by an old view: a woken process must see that its view is stale before anything
+// else of it has run.
+func TestPausedProcessIsStaleAtOnceAndRefreshes(t *testing.T) {
+	f := fleet(t, 4)
+	e := f.VMs[2]
+	lost := watchUnusable(f, func(viewer, _ membership.Member) bool { return viewer.ID == e.Member.ID })
+	require.False(t, e.View().Stale)
+	e.Pause()
+	f.Run(5 * time.Second)
+	e.Wake()
+	require.True(t, e.View().Stale)
+	require.True(t, within(f, time.Second, func() bool { return !e.View().Stale }))
+	require.True(t, within(f, 30*time.Second, f.Settled))
+	require.Zero(t, *lost, "calls that the pause cut short are no evidence against peers")
+	require.Equal(t, uint64(1), e.Stats().Pauses)
+}
+
+// Guards against a view that stays stale for ever when no peer can be reached.
+func TestStaleViewWithoutPeersIsUsedAgain(t *testing.T) {
+	f := fleet(t, 1)
+	e := f.VMs[0]
+	f.CutOff("a")
+	e.Pause()
+	f.Run(5 * time.Second)
+	e.Wake()
+	require.True(t, e.View().Stale)
+	f.Run(2900 * time.Millisecond)
+	require.True(t, e.View().Stale)
+	f.Run(200 * time.Millisecond)
+	require.False(t, e.View().Stale)
+	require.Equal(t, uint64(1), e.Stats().Unrefreshed)
+}
+
+// Guards against a restarted process that is taken for the old one, also when its clock is behind the old one's,
+// and against late news of the old process that removes the new one.
+func TestRestartWithTheSameID(t *testing.T) {
+	f := fleet(t, 3)
+	old := f.VMs[1].Member
+	f.VMs[1].Stop()
+	fresh := f.Restart(1)
+	require.True(t, within(f, 10*time.Second, f.Settled))
+	lost := watchUnusable(f, func(_, m membership.Member) bool { return m.ID == old.ID })
+	old.State = dead
+	old.Sequence = 99
+	for _, e := range f.VMs {
+		e.HandleProbe(membership.ProbeRequest{From: f.VMs[0].Member, Updates: []membership.Member{old}, Expected: "x"})
+	}
+	f.Run(time.Minute)
+	require.Zero(t, *lost)
+	require.True(t, f.Settled())
+
+	ahead := fresh.Member
+	ahead.Incarnation = ident.Incarnation{Started: f.Clock.Now().Add(time.Hour), Token: "ahead"}
+	fresh.Stop()
+	f.VMs[0].HandleProbe(membership.ProbeRequest{From: ahead, Expected: "x"})
+	f.Run(30 * time.Second)
+	f.Restart(1)
+	require.True(t, within(f, 20*time.Second, f.Settled))
+}
+
+// Guards against a process that wakes after its VM's id was given to another process and takes the id back.
+func TestWokenOldProcessDoesNotRemoveTheNew(t *testing.T) {
+	f := fleet(t, 3)
+	old := f.VMs[1]
+	f.Run(time.Minute)
+	old.Pause()
+	f.Run(10 * time.Second)
+	f.Restart(1)
+	require.True(t, within(f, 20*time.Second, f.Settled))
+	lost := watchUnusable(f, func(_, m membership.Member) bool { return m.ID == old.Member.ID })
+	old.Wake()
+	f.Run(time.Minute)
+	require.Zero(t, *lost)
+	require.True(t, f.Settled())
+	require.True(t, old.Superseded())
+	require.Equal(t, leaving, old.View().Self.State)
+}
+
+// Guards against trust in a list that lags: it marks leaving VMs, but does not outweigh what members say.
+func TestPlatformList(t *testing.T) {
+	f := fleet(t, 3)
+	id := f.VMs[4].Member.ID
+	whole := f.Listed
+	f.Listed = whole[:3]
+	f.ApplyList()
+	f.Run(3 * time.Hour)
+	require.True(t, f.Settled(), "a VM that answers stays although the list lacks it")
+
+	f.Listed = append([]membership.Listed{}, whole...)
+	f.Listed[4].Leaving = true
+	f.VMs[0].ApplyList(f.Listed)
+	require.True(t, within(f, 3*time.Second, func() bool { return f.Knows(id, leaving) }))
+	f.Run(time.Minute)
+	require.True(t, f.Knows(id, leaving), "a VM that the list calls leaving does not refute")
+
+	f.ApplyList()
+	f.VMs[4].Stop()
+	f.Run(time.Minute)
+	f.Restart(4)
+	require.True(t, within(f, 20*time.Second, f.Settled))
+	f.ApplyList()
+	f.Run(time.Hour)
+	require.True(t, f.Settled(), "a list that is stale for an hour means the process before the restart")
+}
+
+// Guards against dead members that are never forgotten, and against forgotten ones that return.
+func TestDeadMemberIsForgotten(t *testing.T) {
+	f := fleet(t, 2)
+	f.VMs[1].Stop()
+	id := f.VMs[1].Member.ID
+	f.Run(3 * time.Hour)
+	require.True(t, f.Knows(id, dead), "the list still names it")
+	f.Listed = append([]membership.Listed{f.Listed[0]}, f.Listed[2:]...)
+	f.ApplyList()
+	f.Run(3 * time.Hour)
+	for _, e := range f.Running() {
+		_, known := e.View().Lookup(id)
+		require.False(t, known)
+	}
+}
+
+// Guards against interleavings of failures after which views differ, and against an incarnation that returns after
+// its process ended.
+func TestViewsConvergeAfterFailures(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		f := membersim.NewFleet(rapid.Uint64().Draw(rt, "seed"), 2, "a", "b", "c")
+		ended := map[string]bool{}
+		zone := rapid.SampledFrom([]ident.Zone{"a", "b", "c"})
+		place := rapid.IntRange(0, len(f.VMs)-1)
+		restart := func(rt *rapid.T) {
+			i := place.Draw(rt, "vm")
+			f.VMs[i].Stop()
+			ended[f.VMs[i].Member.Incarnation.Token] = true
+			f.Restart(i)
+		}
+		actions := map[string]func(*rapid.T){
+			"restart": restart,
+			"pause":   func(rt *rapid.T) { f.VMs[place.Draw(rt, "vm")].Pause() },
+			"wake":    func(rt *rapid.T) { f.VMs[place.Draw(rt, "vm")].Wake() },
+			"cut":     func(rt *rapid.T) { f.CutOff(zone.Draw(rt, "zone")) },
+			"one_way": func(rt *rapid.T) { f.CutOneWay(zone.Draw(rt, "from"), zone.Draw(rt, "to")) },
+			"heal":    func(*rapid.T) { f.Heal() },
+			"list":    func(*rapid.T) { f.ApplyList() },
+			"report": func(rt *rapid.T) {
+				f.VMs[place.Draw(rt, "vm")].ReportFailure(f.VMs[place.Draw(rt, "reported")].Member.ID)
+			},
+			"": func(rt *rapid.T) {
+				f.Run(time.Duration(rapid.IntRange(1, 8000).Draw(rt, "ms")) * time.Millisecond)
+			},
+		}
+		rt.Repeat(actions)
+		f.Heal()
+		for _, e := range f.VMs {
+			e.Wake()
+		}
+		if !f.RunUntil(f.Clock.Now().Add(3*time.Minute), f.Settled) {
+			rt.Fatal("views differ 3 minutes after healing")
+		}
+		f.Run(30 * time.Second)
+		for _, e := range f.VMs {
+			for _, m := range e.View().Members {
+				if ended[m.Incarnation.Token] {
+					rt.Fatalf("%s sees the ended incarnation %s of %s", e.Member.ID, m.Incarnation, m.ID)
+				}
+			}
+		}
+	})
+}
--- a/membership/view.go
+++ b/membership/view.go
@@ -30,6 +30,10 @@
 	// Sequence counts the member's refutations within its incarnation.
 	Sequence uint64
 	State    State
+	// Since is when the viewing VM learned of the state.
+	Since time.Time
+	// Indirect reports that the viewing VM reaches the member only through other VMs.
+	Indirect bool
 }
 
 // Usable reports whether new work may be sent to the member.
--- /dev/null
+++ b/membership/wire/connect.go
@@ -0,0 +1,132 @@
+package wire
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	peerv1 "teaselbank.example/teaselbank/gen/teaselbank/peer/v1"
+	"teaselbank.example/teaselbank/gen/teaselbank/peer/v1/peerv1connect"
+	"teaselbank.example/teaselbank/membership"
+)
+
+// Limits of the protocol's messages and calls.
+const (
+	// maxMessageBytes holds an answer with several thousand members.
+	maxMessageBytes = 1 << 20
+	// maxCalls bounds the calls under way; a call above it fails at once.
+	maxCalls = 256
+)
+
+// Transport calls peers over connect.
+type Transport struct {
+	// Traffic counts the calls of this transport and those of handlers that share it.
+	Traffic *Traffic
+
+	http    *http.Client
+	slots   chan struct{}
+	clients sync.Map // address -> peerv1connect.MembershipServiceClient
+}
+
+// NewTransport returns a transport over an HTTP client.
+func NewTransport(client *http.Client) *Transport {
+	return &Transport{Traffic: new(Traffic), http: client, slots: make(chan struct{}, maxCalls)}
+}
+
+func (t *Transport) client(address string) peerv1connect.MembershipServiceClient {
+	if c, ok := t.clients.Load(address); ok {
+		return c.(peerv1connect.MembershipServiceClient)
+	}
+	c, _ := t.clients.LoadOrStore(address, peerv1connect.NewMembershipServiceClient(t.http, "http://"+address,
+		connect.WithReadMaxBytes(maxMessageBytes), connect.WithInterceptors(t.Traffic.interceptor())))
+	return c.(peerv1connect.MembershipServiceClient)
+}
+
+var errBusy = connect.NewError(connect.CodeResourceExhausted, nil)
+
+// call runs f in its own goroutine with a context that ends at the timeout.
+func (t *Transport) call(timeout time.Duration, f func(ctx context.Context), refused func()) {
+	select {
+	case t.slots <- struct{}{}:
+	default:
+		go refused()
+		return
+	}
+	go func() {
+		defer func() { <-t.slots }()
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
+		defer cancel()
+		f(ctx)
+	}()
+}
+
+// Probe implements membership.Transport.
+func (t *Transport) Probe(to membership.Member, req membership.ProbeRequest, timeout time.Duration, done func(membership.ProbeReply, error)) {
+	msg := ProbeRequest(req)
+	t.call(timeout, func(ctx context.Context) {
+		resp, err := t.client(to.Address).Probe(ctx, connect.NewRequest(msg))
+		if err != nil {
+			done(membership.ProbeReply{}, err)
+			return
+		}
+		done(FromProbeReply(resp.Msg), nil)
+	}, func() { done(membership.ProbeReply{}, errBusy) })
+}
+
+// IndirectProbe implements membership.Transport.
+func (t *Transport) IndirectProbe(via, from, target membership.Member, timeout time.Duration, done func(membership.IndirectReply, error)) {
+	msg := &peerv1.IndirectProbeRequest{From: Member(from), Target: Member(target)}
+	t.call(timeout, func(ctx context.Context) {
+		resp, err := t.client(via.Address).IndirectProbe(ctx, connect.NewRequest(msg))
+		if err != nil {
+			done(membership.IndirectReply{}, err)
+			return
+		}
+		done(membership.IndirectReply{Reachable: resp.Msg.GetReachable(), Target: FromMember(resp.Msg.GetTarget())}, nil)
+	}, func() { done(membership.IndirectReply{}, errBusy) })
+}
+
+// Leave implements membership.Transport.
+func (t *Transport) Leave(to, self membership.Member, timeout time.Duration, done func(error)) {
+	msg := &peerv1.LeaveRequest{Member: Member(self)}
+	t.call(timeout, func(ctx context.Context) {
+		_, err := t.client(to.Address).Leave(ctx, connect.NewRequest(msg))
+		done(err)
+	}, func() { done(errBusy) })
+}
+
+// Handler answers peers' calls with a node.
+type Handler struct{ node *membership.Node }
+
+// NewHandler returns the path and HTTP handler of a node's service.
+func NewHandler(node *membership.Node, traffic *Traffic) (string, http.Handler) {
+	return peerv1connect.NewMembershipServiceHandler(&Handler{node}, connect.WithReadMaxBytes(maxMessageBytes),
+		connect.WithInterceptors(traffic.interceptor()))
+}
+
+// Probe answers a direct probe.
+func (h *Handler) Probe(_ context.Context, req *connect.Request[peerv1.ProbeRequest]) (*connect.Response[peerv1.ProbeResponse], error) {
+	return connect.NewResponse(ProbeReply(h.node.HandleProbe(FromProbeRequest(req.Msg)))), nil
+}
+
+// IndirectProbe probes a target for the caller.
+func (h *Handler) IndirectProbe(ctx context.Context, req *connect.Request[peerv1.IndirectProbeRequest]) (*connect.Response[peerv1.IndirectProbeResponse], error) {
+	result := make(chan membership.IndirectReply, 1)
+	h.node.HandleIndirectProbe(FromMember(req.Msg.GetFrom()), FromMember(req.Msg.GetTarget()),
+		func(r membership.IndirectReply) { result <- r })
+	select {
+	case r := <-result:
+		return connect.NewResponse(&peerv1.IndirectProbeResponse{Reachable: r.Reachable, Target: Member(r.Target)}), nil
+	case <-ctx.Done():
+		return nil, connect.NewError(connect.CodeDeadlineExceeded, ctx.Err())
+	}
+}
+
+// Leave takes a peer's announcement that it is leaving.
+func (h *Handler) Leave(_ context.Context, req *connect.Request[peerv1.LeaveRequest]) (*connect.Response[peerv1.LeaveResponse], error) {
+	h.node.HandleLeave(FromMember(req.Msg.GetMember()))
+	return connect.NewResponse(&peerv1.LeaveResponse{}), nil
+}
--- a/plugin/membership/membership.go
+++ b/plugin/membership/membership.go
@@ -1,10 +1,12 @@
-// Package membership is the plug-in that keeps this VM's view of the live VMs.
+// Package membership is the plug-in that keeps this VM's view of the live VMs: it runs the failure detector, serves
+// peers' probes and reads the platform's list.
 package membership
 
 import (
 	"context"
+	"math/rand/v2"
+	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -14,119 +16,97 @@
 	"teaselbank.example/teaselbank/ident"
 	"teaselbank.example/teaselbank/kernel"
 	"teaselbank.example/teaselbank/membership"
+	"teaselbank.example/teaselbank/membership/wire"
 	"teaselbank.example/teaselbank/platformclient"
+	"teaselbank.example/teaselbank/plugin/peerapi"
 	"teaselbank.example/teaselbank/settings"
 )
 
-// listInterval is how often the platform's list of VMs is read.
-const listInterval = 2 * time.Second
-
 func init() {
 	kernel.Register(kernel.Plugin{Name: "membership", Options: func() fx.Option {
 		return fx.Options(
-			fx.Provide(newTable),
+			fx.Provide(newTable, newTransport, func(t *wire.Transport) *wire.Traffic { return t.Traffic }),
 			fx.Provide(func(t *Table) membership.Viewer { return t }),
-			fx.Invoke(follow),
+			fx.Provide(func(t *Table) membership.FailureReporter { return t }),
+			fx.Provide(fx.Annotate(newHandler, fx.ResultTags(peerapi.Group))),
+			fx.Invoke(follow, logChanges, observe, fx.Annotate(joinConfig, fx.ParamTags("", `optional:"true"`))),
 		)
 	}})
 }
 
 // Table holds the view and tells listeners of changes.
 type Table struct {
-	self  membership.Member
+	*membership.Node
 	clock clockwork.Clock
-	view  atomic.Pointer[membership.View]
-
-	mu        sync.Mutex
-	listeners []func(*membership.View)
+	wake  chan time.Time
 }
 
-func newTable(s *settings.Settings, clock clockwork.Clock) *Table {
+func newTransport(client *http.Client) *wire.Transport { return wire.NewTransport(client) }
+
+func newTable(s *settings.Settings, clock clockwork.Clock, transport *wire.Transport) *Table {
 	self := membership.Member{ID: ident.VMID(s.VMID), Zone: ident.Zone(s.Zone), Address: s.PeerListen,
 		Incarnation: ident.NewIncarnation(clock.Now()), State: membership.Alive}
-	t := &Table{self: self, clock: clock}
-	t.view.Store(membership.NewView(self, nil, 1, clock.Now()))
+	t := &Table{clock: clock, wake: make(chan time.Time, 1)}
+	t.Node = membership.NewNode(membership.Options{Self: self, Clock: clock, Transport: transport,
+		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Wake: t.wakeUp})
 	return t
 }
 
-// View returns the current view without taking a lock.
-func (t *Table) View() *membership.View { return t.view.Load() }
+// joinConfig connects the spreading of bundles after both sides are built, because that side needs the view.
+func joinConfig(t *Table, config membership.ConfigGossip) {
+	if config != nil {
+		t.SetConfig(config)
+	}
+}
 
-// OnChange registers a function that is called with each new view.
-func (t *Table) OnChange(f func(*membership.View)) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.listeners = append(t.listeners, f)
-	f(t.view.Load())
+func newHandler(t *Table, transport *wire.Transport) peerapi.Handler {
+	path, h := wire.NewHandler(t.Node, transport.Traffic)
+	return peerapi.Handler{Path: path, Handler: h}
 }
 
-func (t *Table) apply(vms []platformclient.VM) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	members := make([]membership.Member, 0, len(vms))
-	for _, vm := range vms {
-		state := membership.Alive
-		if vm.Leaving {
-			state = membership.Leaving
-		}
-		if ident.VMID(vm.ID) != t.self.ID {
-			members = append(members, membership.Member{ID: ident.VMID(vm.ID), Zone: ident.Zone(vm.Zone), Address: vm.PeerAddress, State: state})
-		}
-	}
-	old := t.view.Load()
-	next := membership.NewView(t.self, members, old.Generation+1, t.clock.Now())
-	if sameMembers(old, next) {
-		return
-	}
-	t.view.Store(next)
-	for _, f := range t.listeners {
-		f(next)
+// Ready reports whether this process still holds its VM's id; it is a readiness check.
+func (t *Table) Ready() bool { return !t.Superseded() }
+
+// wakeUp asks for an earlier tick. A request that already waits is at least as early.
+func (t *Table) wakeUp(at time.Time) {
+	select {
+	case t.wake <- at:
+	default:
 	}
 }
 
-func sameMembers(a, b *membership.View) bool {
-	if len(a.Members) != len(b.Members) {
-		return false
-	}
-	for i := range a.Members {
-		if a.Members[i] != b.Members[i] {
-			return false
+// run ticks the node until the context ends.
+func (t *Table) run(ctx context.Context) {
+	timer := t.clock.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case at := <-t.wake:
+			// The change that woke this loop is pushed a moment later, with whatever else changes until then.
+			timer.Reset(at.Sub(t.clock.Now()))
+			continue
+		case <-timer.Chan():
 		}
+		next := t.Tick()
+		timer.Reset(next.Sub(t.clock.Now()))
 	}
-	return true
 }
 
 func follow(lc fx.Lifecycle, t *Table, platform *platformclient.Client, logger *log.Logger) {
 	ctx, cancel := context.WithCancel(context.Background())
-	var reader sync.WaitGroup
+	var loops sync.WaitGroup
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			reader.Go(func() { readList(ctx, t, platform, logger.With("component", "membership")) })
+			loops.Go(func() { t.run(ctx) })
+			loops.Go(func() { readList(ctx, t, platform, logger.With("component", "membership")) })
 			return nil
 		},
 		OnStop: func(context.Context) error {
 			cancel()
-			reader.Wait()
+			loops.Wait()
 			return nil
 		},
 	})
 }
-
-func readList(ctx context.Context, t *Table, platform *platformclient.Client, logger *log.Logger) {
-	ticker := time.NewTicker(listInterval)
-	defer ticker.Stop()
-	for {
-		vms, err := platform.VMs(ctx)
-		if err != nil && ctx.Err() == nil {
-			logger.Warn("vm_list_read_failed", "err", err)
-		}
-		if err == nil {
-			t.apply(vms)
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
