Name every bad setting in one run

Cause: the flags library converts values itself and stops at the first that it cannot convert, so a duration "abc" hid a bad zone and a bad address, and an unknown flag hid everything.

A fault names the flag, its environment variable, the value and what is allowed.

Figures: TestThreeBadSettingsAreNamedTogether and TestEnvironmentAndFlagsAreCheckedAlike fail on the code before this change and pass now.

--- a/settings/check.go
+++ b/settings/check.go
@@ -29,9 +29,16 @@
 	Allowed string
 }
 
-// String names the flag, the value and what is allowed.
+// String names the flag with its environment variable, the value and what is allowed.
 func (f Fault) String() string {
-	return fmt.Sprintf("--%s: %q is not allowed; allowed: %s", f.Flag, f.Value, f.Allowed)
+	if f.Flag == "" {
+		return fmt.Sprintf("arguments: %q is not allowed; allowed: %s", f.Value, f.Allowed)
+	}
+	return fmt.Sprintf("--%s (%s): %q is not allowed; allowed: %s", f.Flag, envName(f.Flag), f.Value, f.Allowed)
+}
+
+func envName(flag string) string {
+	return "TEASELBANK_" + strings.ToUpper(strings.ReplaceAll(flag, "-", "_"))
 }
 
 // FaultsError holds every fault of one run.
@@ -58,8 +65,10 @@
 	}
 }
 
-func (s *Settings) check(rest []string) []Fault {
-	c := &checker{}
+// settings converts the given values and notes every one that is not allowed.
+func (c *checker) settings(g *raw, rest []string) *Settings {
+	s := &Settings{VMID: g.VMID, Zone: g.Zone, CallerListen: g.CallerListen, PeerListen: g.PeerListen,
+		OpsListen: g.OpsListen, PlatformURL: g.PlatformURL, RootKeyring: g.RootKeyring, LogLevel: g.LogLevel}
 	c.check(len(rest) == 0, "", strings.Join(rest, " "), "no arguments besides flags")
 	c.check(namePattern.MatchString(s.VMID), "vm-id", s.VMID, nameAllowed)
 	c.check(namePattern.MatchString(s.Zone), "zone", s.Zone, nameAllowed)
@@ -68,11 +77,11 @@
 	c.keyring(s)
 	levels := []string{"debug", "info", "warn", "error"}
 	c.check(slices.Contains(levels, s.LogLevel), "log-level", s.LogLevel, strings.Join(levels, ", "))
-	c.duration("balancer-delay", s.BalancerDelay, 0, maxBalancerDelay)
-	c.duration("drain-timeout", s.DrainTimeout, minDrainTimeout, maxDrainTimeout)
-	c.duration("start-timeout", s.StartTimeout, minStartTimeout, maxStartTimeout)
-	c.duration("peer-grace", s.PeerGrace, 0, maxPeerGrace)
-	return c.faults
+	s.BalancerDelay = c.duration("balancer-delay", g.BalancerDelay, 0, maxBalancerDelay)
+	s.DrainTimeout = c.duration("drain-timeout", g.DrainTimeout, minDrainTimeout, maxDrainTimeout)
+	s.StartTimeout = c.duration("start-timeout", g.StartTimeout, minStartTimeout, maxStartTimeout)
+	s.PeerGrace = c.duration("peer-grace", g.PeerGrace, 0, maxPeerGrace)
+	return s
 }
 
 func (c *checker) addresses(s *Settings) {
@@ -115,6 +124,8 @@
 	}
 }
 
-func (c *checker) duration(flag string, value, low, high time.Duration) {
-	c.check(value >= low && value <= high, flag, value.String(), fmt.Sprintf("%s to %s", low, high))
+func (c *checker) duration(flag, value string, low, high time.Duration) time.Duration {
+	d, err := time.ParseDuration(value)
+	c.check(err == nil && d >= low && d <= high, flag, value, fmt.Sprintf("a duration such as 2s, from %s to %s", low, high))
+	return d
 }
