Drain in a fixed order and say what was cut off

Cause: a bundle that arrived during a stop turned readiness on again, peers were not told, their calls were not waited for, a drain that ran out of time ended with exit code 0, and start errors were printed nowhere.

Change: lifecycle.Drain turns readiness off, waits BalancerDelay, refuses callers' new requests, announces the leave, finishes accepted requests, goes on taking peers' calls for PeersKnow (3 s, the bound for a leaving VM) and finishes those. DrainTimeout bounds all but BalancerDelay. A second SIGTERM or SIGINT ends the drain. Cut-off requests are logged and give exit code 1, as does a failed start, whose error is printed. Plug-ins add readiness checks in the fx group "readiness".

--- a/cmd/teaselbankd/main.go
+++ b/cmd/teaselbankd/main.go
@@ -2,27 +2,37 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
+	"io"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/jessevdk/go-flags"
+	"go.uber.org/fx"
 
 	"teaselbank.example/teaselbank/kernel"
+	"teaselbank.example/teaselbank/lifecycle"
 	_ "teaselbank.example/teaselbank/plugin/all"
 	"teaselbank.example/teaselbank/settings"
 	"teaselbank.example/teaselbank/version"
 )
 
-// Exit codes.
+// Exit codes. exitFailure stands for a failed start and for a stop that cut off requests.
 const (
 	exitFailure     = 1
 	exitBadSettings = 2
 )
 
-func main() { os.Exit(run(os.Args[1:])) }
+func main() {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	os.Exit(run(os.Args[1:], signals, os.Stderr))
+}
 
-func run(args []string) int {
+func run(args []string, signals <-chan os.Signal, stderr io.Writer) int {
 	s, err := settings.Parse(args)
 	var help *flags.Error
 	if errors.As(err, &help) && help.Type == flags.ErrHelp {
@@ -30,18 +40,46 @@
 		return 0
 	}
 	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
+		_, _ = fmt.Fprintln(stderr, err)
 		return exitBadSettings
 	}
 	if s.Version {
 		fmt.Println("teaselbankd", version.Version)
 		return 0
 	}
-	app := kernel.New(s)
-	if err := app.Err(); err != nil {
-		fmt.Fprintln(os.Stderr, err)
+	if err := serve(s, signals); err != nil {
+		_, _ = fmt.Fprintln(stderr, "teaselbankd:", err)
 		return exitFailure
 	}
-	app.Run()
 	return 0
 }
+
+// serve runs the daemon until the first signal and drains it; a second signal ends the drain at once.
+func serve(s *settings.Settings, signals <-chan os.Signal) error {
+	var state *lifecycle.State
+	app := kernel.New(s, fx.Populate(&state))
+	if err := app.Err(); err != nil {
+		return fmt.Errorf("assemble: %w", err)
+	}
+	start, cancelStart := context.WithTimeout(context.Background(), app.StartTimeout())
+	defer cancelStart()
+	if err := app.Start(start); err != nil {
+		return fmt.Errorf("start: %w", err)
+	}
+	<-signals
+	stopped := make(chan struct{})
+	defer close(stopped)
+	go func() {
+		select {
+		case <-signals:
+			state.Hurry()
+		case <-stopped:
+		}
+	}()
+	stop, cancelStop := context.WithTimeout(context.Background(), app.StopTimeout())
+	defer cancelStop()
+	if err := app.Stop(stop); err != nil {
+		return fmt.Errorf("stop: %w", err)
+	}
+	return nil
+}
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -9,6 +9,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
+	"teaselbank.example/teaselbank/lifecycle"
 	"teaselbank.example/teaselbank/settings"
 )
 
@@ -50,6 +51,7 @@
 	options := []fx.Option{
 		fx.Supply(s),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.Provide(lifecycle.New),
 		fx.StartTimeout(s.StartTimeout),
 		fx.StopTimeout(s.DrainTimeout + s.BalancerDelay + stopMargin),
 	}
--- a/membership/merge.go
+++ b/membership/merge.go
@@ -88,9 +88,9 @@
 	n.enqueue(n.self)
 }
 
-// Leave announces that this VM takes no new work; done is called when the peers that are told directly have
-// answered or failed to.
-func (n *Node) Leave(done func()) {
+// Leave announces that this VM takes no new work; done is called with the number of peers that are told directly,
+// when each has answered or failed to.
+func (n *Node) Leave(done func(told int)) {
 	told := 0
 	n.locked(func(time.Time) {
 		if n.self.State != Leaving {
@@ -107,13 +107,13 @@
 				last := waiting == 0
 				n.mu.Unlock()
 				if last {
-					done()
+					done(len(peers))
 				}
 			})
 		}
 	})
 	if told == 0 {
-		done()
+		done(0)
 	}
 }
 
--- a/membership/node_test.go
+++ b/membership/node_test.go
@@ -63,7 +63,7 @@
 func TestLeavingVMIsRemovedWithin3s(t *testing.T) {
 	f := fleet(t, 20)
 	told := false
-	f.VMs[7].Leave(func() { told = true })
+	f.VMs[7].Leave(func(n int) { told = n == 8 })
 	id := f.VMs[7].Member.ID
 	require.True(t, within(f, 3*time.Second, func() bool { return f.Knows(id, leaving) }))
 	require.True(t, told)
--- a/membership/wire/wire_test.go
+++ b/membership/wire/wire_test.go
@@ -56,7 +56,7 @@
 
 	a.HandleProbe(membership.ProbeRequest{From: self(b)})
 	left := make(chan struct{})
-	a.Leave(func() { close(left) })
+	a.Leave(func(int) { close(left) })
 	<-left
 	m, ok := b.View().Lookup("vm-a")
 	require.True(t, ok)
--- a/plugin/callerapi/callerapi.go
+++ b/plugin/callerapi/callerapi.go
@@ -41,7 +41,7 @@
 
 func init() {
 	kernel.Register(kernel.Plugin{Name: "callerapi", Options: func() fx.Option {
-		return fx.Options(fx.Provide(lifecycle.New, newAPI), fx.Invoke(serve))
+		return fx.Options(fx.Provide(newAPI), fx.Invoke(serve))
 	}})
 }
 
--- a/plugin/membership/membership.go
+++ b/plugin/membership/membership.go
@@ -15,6 +15,7 @@
 
 	"teaselbank.example/teaselbank/ident"
 	"teaselbank.example/teaselbank/kernel"
+	"teaselbank.example/teaselbank/lifecycle"
 	"teaselbank.example/teaselbank/membership"
 	"teaselbank.example/teaselbank/membership/wire"
 	"teaselbank.example/teaselbank/platformclient"
@@ -28,6 +29,8 @@
 			fx.Provide(newTable, newTransport, func(t *wire.Transport) *wire.Traffic { return t.Traffic }),
 			fx.Provide(func(t *Table) membership.Viewer { return t }),
 			fx.Provide(func(t *Table) membership.FailureReporter { return t }),
+			fx.Provide(func(t *Table) lifecycle.Leaver { return t }),
+			fx.Provide(fx.Annotate(func(t *Table) lifecycle.ReadyCheck { return t }, fx.ResultTags(lifecycle.ReadinessGroup))),
 			fx.Provide(fx.Annotate(newHandler, fx.ResultTags(peerapi.Group))),
 			fx.Invoke(follow, logChanges, observe, fx.Annotate(joinConfig, fx.ParamTags("", `optional:"true"`))),
 		)
--- a/plugin/peerapi/peerapi.go
+++ b/plugin/peerapi/peerapi.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -12,6 +13,7 @@
 	"go.uber.org/fx"
 
 	"teaselbank.example/teaselbank/kernel"
+	"teaselbank.example/teaselbank/lifecycle"
 	"teaselbank.example/teaselbank/settings"
 )
 
@@ -34,14 +36,14 @@
 
 func init() {
 	kernel.Register(kernel.Plugin{Name: "peerapi", Options: func() fx.Option {
-		return fx.Invoke(fx.Annotate(serve, fx.ParamTags("", "", "", Group)))
+		return fx.Invoke(fx.Annotate(serve, fx.ParamTags("", "", "", "", Group)))
 	}})
 }
 
-func serve(lc fx.Lifecycle, s *settings.Settings, logger *log.Logger, handlers []Handler) {
+func serve(lc fx.Lifecycle, s *settings.Settings, logger *log.Logger, state *lifecycle.State, handlers []Handler) {
 	mux := http.NewServeMux()
 	for _, h := range handlers {
-		mux.Handle(h.Path, h.Handler)
+		mux.Handle(h.Path, counted(state, h.Handler))
 	}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
@@ -51,6 +53,15 @@
 	Listen(lc, server, s.PeerListen, "peer", logger)
 }
 
+// counted makes a drain wait for peers' calls that are under way.
+func counted(state *lifecycle.State, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		end := state.BeginPeer()
+		defer end()
+		next.ServeHTTP(w, r)
+	})
+}
+
 // Listen adds hooks that open the listener at start and shut the server down gracefully at stop.
 func Listen(lc fx.Lifecycle, server *http.Server, address, name string, logger *log.Logger) {
 	lc.Append(fx.Hook{
@@ -60,9 +71,18 @@
 				return fmt.Errorf("%s listener: %w", name, err)
 			}
 			logger.Info("listening", "api", name, "address", l.Addr())
-			go func() { _ = server.Serve(l) }()
+			go func() {
+				if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+					logger.Error("listener_failed", "api", name, "err", err)
+				}
+			}()
+			return nil
+		},
+		OnStop: func(ctx context.Context) error {
+			if err := server.Shutdown(ctx); err != nil {
+				return errors.Join(fmt.Errorf("%s listener: %w", name, err), server.Close())
+			}
 			return nil
 		},
-		OnStop: func(ctx context.Context) error { return server.Shutdown(ctx) },
 	})
 }
--- a/plugin/shutdown/shutdown.go
+++ b/plugin/shutdown/shutdown.go
@@ -4,9 +4,12 @@
 
 import (
 	"context"
-	"time"
+	"errors"
+	"fmt"
 
 	"github.com/charmbracelet/log"
+	"github.com/jonboulle/clockwork"
+	"go.opentelemetry.io/otel/metric"
 	"go.uber.org/fx"
 
 	"teaselbank.example/teaselbank/config"
@@ -16,23 +19,79 @@
 )
 
 func init() {
-	kernel.Register(kernel.Plugin{Name: "shutdown", Options: func() fx.Option { return fx.Invoke(run) }})
+	kernel.Register(kernel.Plugin{Name: "shutdown", Options: func() fx.Option {
+		return fx.Invoke(observe, run)
+	}})
+}
+
+// parts are what the plug-in works on.
+type parts struct {
+	fx.In
+
+	Lifecycle fx.Lifecycle
+	State     *lifecycle.State
+	Store     *config.Store
+	Settings  *settings.Settings
+	Clock     clockwork.Clock
+	Leaver    lifecycle.Leaver
+	Logger    *log.Logger
+	Checks    []lifecycle.ReadyCheck `group:"readiness"`
 }
 
 // run registers last and is therefore stopped first, while every listener is still open.
-func run(lc fx.Lifecycle, state *lifecycle.State, store *config.Store, s *settings.Settings, logger *log.Logger) {
-	store.OnChange(func(*config.InForce) { state.SetReady(true) })
-	lc.Append(fx.Hook{OnStop: func(ctx context.Context) error {
-		state.NotReady()
-		logger.Info("stopping", "balancer_delay", s.BalancerDelay, "drain_timeout", s.DrainTimeout)
-		select {
-		case <-time.After(s.BalancerDelay):
-		case <-ctx.Done():
-		}
-		ctx, cancel := context.WithTimeout(ctx, s.DrainTimeout)
-		defer cancel()
-		left := state.Drain(ctx)
-		logger.Info("drained", "requests_cut_off", left)
-		return nil
-	}})
+func run(p parts) {
+	for _, c := range p.Checks {
+		p.State.AddCheck(c)
+	}
+	logger := p.Logger.With("component", "lifecycle")
+	drain := &lifecycle.Drain{State: p.State, Clock: p.Clock, Leaver: p.Leaver,
+		BalancerDelay: p.Settings.BalancerDelay, Timeout: p.Settings.DrainTimeout}
+	p.Lifecycle.Append(fx.Hook{
+		// Only here has every plug-in started, so a bundle makes the process ready from now on.
+		OnStart: func(context.Context) error {
+			p.Store.OnChange(func(*config.InForce) { p.State.SetReady(true) })
+			return nil
+		},
+		OnStop: func(ctx context.Context) error {
+			logger.Info("drain_started", "balancer_delay", drain.BalancerDelay, "drain_timeout", drain.Timeout)
+			err := drain.Run(ctx)
+			var cut *lifecycle.CutOffError
+			if errors.As(err, &cut) {
+				logger.Error("drain_cut_off", "callers", cut.Callers, "peers", cut.Peers, "second_signal", cut.Hurried)
+			} else {
+				logger.Info("drained", "refused", p.State.Refused())
+			}
+			return err
+		},
+	})
+}
+
+// observe registers the metrics; docs/operations/metrics.md lists them.
+func observe(state *lifecycle.State, meter metric.Meter) error {
+	gauge := func(name, help string, read func() int64) error {
+		_, err := meter.Int64ObservableGauge("lifecycle_"+name, metric.WithDescription(help),
+			metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+				o.Observe(read())
+				return nil
+			}))
+		return err
+	}
+	err := errors.Join(
+		gauge("caller_requests", "callers' requests that run", func() int64 { return int64(state.Accepted(lifecycle.FromCaller)) }),
+		gauge("peer_calls", "peers' calls that run", func() int64 { return int64(state.Accepted(lifecycle.FromPeer)) }),
+		gauge("refused_draining", "callers' requests refused by the drain", func() int64 { return int64(state.Refused()) }),
+		gauge("ready", "1 if the balancer should send requests here", func() int64 { return boolGauge(state.Ready()) }),
+		gauge("draining", "1 while a drain refuses new work", func() int64 { return boolGauge(state.Draining()) }),
+	)
+	if err != nil {
+		return fmt.Errorf("lifecycle metrics: %w", err)
+	}
+	return nil
+}
+
+func boolGauge(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
 }
