Explain why a target or zone gets no work

Cause: operators saw peers without incarnation or age, and nothing said why a target or zone gets no work.

Change: /v1/explain?target= and ?zone= list every cause in the bundle in force, the placement plan and the view; /v1/status names each peer's incarnation, sequence, age and reachability.

--- a/plugin/opsapi/opsapi.go
+++ b/plugin/opsapi/opsapi.go
@@ -60,6 +60,7 @@
 	r.GET("/readyz", a.ready)
 	r.GET("/metrics", gin.WrapH(promhttp.HandlerFor(a.registry, promhttp.HandlerOpts{})))
 	r.GET("/v1/status", func(c *gin.Context) { c.JSON(http.StatusOK, a.status()) })
+	r.GET("/v1/explain", a.explain)
 	return r
 }
 
@@ -74,14 +75,15 @@
 func (a *API) status() Status {
 	view := a.viewer.View()
 	s := Status{VM: string(view.Self.ID), Zone: string(view.Self.Zone), Incarnation: view.Self.Incarnation.String(),
-		Ready: a.state.Ready(), Generation: view.Generation, DecisionsDropped: a.decisions.Dropped(), Conflicts: a.store.Conflicts()}
+		Ready: a.state.Ready(), Draining: a.state.Draining(), Generation: view.Generation,
+		ViewUpdated: view.Updated, ViewStale: view.Stale, DecisionsDropped: a.decisions.Dropped(), Conflicts: a.store.Conflicts()}
 	if force := a.source.Current(); force != nil {
 		s.Config = &ConfigStatus{Version: force.Bundle.Version, Name: force.Bundle.Name, Digest: force.Digest.String(),
 			Author: force.Bundle.Author, Reviewer: force.Bundle.Reviewer, Signers: force.Signers,
 			Since: force.Since, Unconfirmed: force.Unconfirmed}
 	}
 	for _, m := range view.Members {
-		s.Peers = append(s.Peers, PeerStatus{VM: string(m.ID), Zone: string(m.Zone), Address: m.Address, State: string(m.State)})
+		s.Peers = append(s.Peers, peerStatus(m))
 	}
 	if plan := a.planner.Plan(); plan != nil {
 		plan.Targets(func(t *placement.Target) { s.Targets = append(s.Targets, targetStatus(t)) })
--- a/plugin/opsapi/wire.go
+++ b/plugin/opsapi/wire.go
@@ -5,6 +5,8 @@
 	"strings"
 	"time"
 
+	"teaselbank.example/teaselbank/membership"
+	"teaselbank.example/teaselbank/outcome"
 	"teaselbank.example/teaselbank/placement"
 )
 
@@ -16,7 +18,10 @@
 	Ready            bool           `json:"ready"`
 	Config           *ConfigStatus  `json:"config"`
 	Conflicts        uint64         `json:"config_conflicts"`
+	Draining         bool           `json:"draining"`
 	Generation       uint64         `json:"view_generation"`
+	ViewUpdated      time.Time      `json:"view_updated"`
+	ViewStale        bool           `json:"view_stale"`
 	Peers            []PeerStatus   `json:"peers"`
 	Targets          []TargetStatus `json:"targets"`
 	DecisionsDropped uint64         `json:"decisions_dropped"`
@@ -40,6 +45,59 @@
 	Zone    string `json:"zone"`
 	Address string `json:"address"`
 	State   string `json:"state"`
+	// Incarnation is empty if only the platform's list names the VM.
+	Incarnation string    `json:"incarnation"`
+	Started     time.Time `json:"started"`
+	Sequence    uint64    `json:"sequence"`
+	// Since is when this VM learned of the state.
+	Since time.Time `json:"since"`
+	// Indirect reports that this VM reaches the peer only through other VMs.
+	Indirect bool `json:"indirect"`
+	// Usable reports that new work may be sent to the peer.
+	Usable bool `json:"usable"`
+}
+
+// Explanation says why a target or zone gets no new work, as JSON of GET /v1/explain.
+type Explanation struct {
+	// Kind is target or zone.
+	Kind string `json:"kind"`
+	ID   string `json:"id"`
+	// Known reports that the bundle in force names it.
+	Known bool `json:"known"`
+	// GetsWork is true if nothing this VM knows keeps new work away.
+	GetsWork bool `json:"gets_work"`
+	// Causes are what keeps new work away.
+	Causes []Cause `json:"causes"`
+	// Notes are circumstances that do not keep work away.
+	Notes         []string `json:"notes"`
+	Service       string   `json:"service,omitempty"`
+	Zone          string   `json:"zone,omitempty"`
+	Owners        []string `json:"owners,omitempty"`
+	VMs           int      `json:"usable_vms,omitempty"`
+	Targets       int      `json:"serving_targets,omitempty"`
+	ConfigVersion uint64   `json:"config_version"`
+	Generation    uint64   `json:"view_generation"`
+}
+
+// Cause is one reason why no new work is sent.
+type Cause struct {
+	Reason outcome.Reason `json:"reason"`
+	Detail string         `json:"detail"`
+}
+
+func (e *Explanation) add(reason outcome.Reason, detail string) {
+	e.Causes = append(e.Causes, Cause{reason, detail})
+}
+
+func (e *Explanation) done() *Explanation {
+	e.GetsWork = e.Known && len(e.Causes) == 0
+	return e
+}
+
+func peerStatus(m membership.Member) PeerStatus {
+	return PeerStatus{VM: string(m.ID), Zone: string(m.Zone), Address: m.Address, State: string(m.State),
+		Incarnation: m.Incarnation.Token, Started: m.Incarnation.Started, Sequence: m.Sequence, Since: m.Since,
+		Indirect: m.Indirect, Usable: m.Usable()}
 }
 
 // TargetStatus is one target of the plan.
