--- a/gate/set.go
+++ b/gate/set.go
@@ -94,6 +94,19 @@
 	s.asking.Wait()
 }
 
+// Settled reports whether this VM may use its share of every target it owns. It is false before the first plan.
+func (s *Set) Settled() bool {
+	s.mu.Lock()
+	planned := s.plan != nil
+	s.mu.Unlock()
+	for _, g := range *s.gates.Load() {
+		if !g.settled() {
+			return false
+		}
+	}
+	return planned
+}
+
 // change collects what one plan asks of previous owners.
 type change struct {
 	plan *placement.Plan
--- a/plugin/configuration/configuration.go
+++ b/plugin/configuration/configuration.go
@@ -16,6 +16,7 @@
 	"teaselbank.example/teaselbank/config"
 	"teaselbank.example/teaselbank/distribution"
 	"teaselbank.example/teaselbank/kernel"
+	"teaselbank.example/teaselbank/lifecycle"
 	"teaselbank.example/teaselbank/membership"
 	"teaselbank.example/teaselbank/platformclient"
 	"teaselbank.example/teaselbank/plugin/peerapi"
@@ -27,6 +28,8 @@
 		return fx.Options(
 			fx.Provide(newStore, newPlatform, newDistributor, distribution.NewServer),
 			fx.Provide(func(s *config.Store) config.Source { return s }),
+			fx.Provide(func(d *distribution.Distributor) membership.ConfigGossip { return d }),
+			fx.Provide(fx.Annotate(func(d *distribution.Distributor) lifecycle.ReadyCheck { return d }, fx.ResultTags(lifecycle.ReadinessGroup))),
 			fx.Provide(fx.Annotate(newHandler, fx.ResultTags(peerapi.Group))),
 			fx.Invoke(run, observe),
 		)
--- a/plugin/opsapi/wire.go
+++ b/plugin/opsapi/wire.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"teaselbank.example/teaselbank/config"
+	"teaselbank.example/teaselbank/membership"
 	"teaselbank.example/teaselbank/placement"
 	"teaselbank.example/teaselbank/statusapi"
 )
@@ -18,6 +19,18 @@
 // PeerStatus is one VM of the view.
 type PeerStatus = statusapi.PeerStatus
 
+// Explanation says why a target or zone gets no new work.
+type Explanation = statusapi.Explanation
+
+// Cause is one reason why no new work is sent.
+type Cause = statusapi.Cause
+
+func peerStatus(m membership.Member) PeerStatus {
+	return PeerStatus{VM: string(m.ID), Zone: string(m.Zone), Address: m.Address, State: string(m.State),
+		Incarnation: m.Incarnation.Token, Started: m.Incarnation.Started, Sequence: m.Sequence, Since: m.Since,
+		Indirect: m.Indirect, Usable: m.Usable()}
+}
+
 // TargetStatus is one target of the plan.
 type TargetStatus = statusapi.TargetStatus
 
--- a/plugin/placement/placement.go
+++ b/plugin/placement/placement.go
@@ -17,6 +17,7 @@
 	"teaselbank.example/teaselbank/gen/teaselbank/peer/v1/peerv1connect"
 	"teaselbank.example/teaselbank/ident"
 	"teaselbank.example/teaselbank/kernel"
+	"teaselbank.example/teaselbank/lifecycle"
 	"teaselbank.example/teaselbank/membership"
 	"teaselbank.example/teaselbank/placement"
 	viewplugin "teaselbank.example/teaselbank/plugin/membership"
@@ -32,6 +33,7 @@
 			fx.Provide(func(c *http.Client) gate.Predecessor { return gate.NewClient(c) }),
 			fx.Provide(func(k *Keeper) relay.Planner { return k }),
 			fx.Provide(func(g *gate.Set) relay.Local { return g }),
+			fx.Provide(fx.Annotate(newStartup, fx.ResultTags(lifecycle.ReadinessGroup))),
 			fx.Provide(fx.Annotate(newHandler, fx.ResultTags(peerapi.Group))),
 			fx.Invoke(func(k *Keeper, store *config.Store, table *viewplugin.Table) {
 				store.OnChange(k.follow)
