--- a/bundle/explain.go
+++ b/bundle/explain.go
@@ -115,9 +115,13 @@
 
 // Lines returns the explanation as text.
 func (e Explanation) Lines() []string {
+	signers := "nobody"
+	if len(e.Signers) > 0 {
+		signers = strings.Join(e.Signers, ", ")
+	}
 	lines := []string{
 		fmt.Sprintf("bundle %d %q, digest %s", e.Version, e.Name, e.Digest),
-		fmt.Sprintf("author %s, reviewer %s, signed by %s", e.Author, e.Reviewer, strings.Join(e.Signers, ", ")),
+		fmt.Sprintf("author %s, reviewer %s, signed by %s", e.Author, e.Reviewer, signers),
 		fmt.Sprintf("reason: %s", e.Reason),
 	}
 	for _, z := range e.Zones {
