Do not count a push that a newer version ended as an error

Cause: a newer acceptance ends the pushes of the one before it, and each of them was logged as push_failed.

Change: the round ends without a line or a count.

Measured: go test -race passes.

--- a/distribution/forward.go
+++ b/distribution/forward.go
@@ -68,7 +68,7 @@
 		pushes.Go(func() {
 			for ok := true; ok && ctx.Err() == nil; peer, ok = nextSpare() {
 				err := d.push(ctx, peer, force)
-				if err == nil {
+				if err == nil || ctx.Err() != nil {
 					return
 				}
 				d.stats.PushErrors.Add(1)
