Prove at the socket what a target cannot have run

Cause: net/http may resend on a broken reused connection and follows a 303 with a second request; a send counted as possibly run as soon as it had a connection, and any refusal text of a target counted as proof of not_run. Change: the request body cannot be rewound, gives nothing after the deadline (checked when the transport writes) and tells whether a byte was taken; redirects are not followed; HTTP/1.1 is the only protocol; a refusal counts only with status 503 or 409, a known value and no result; a body that ends early is truncated_reply. Cancelling closes the connection; CancelPath is not used because it needs a second connection and can be lost. Conclusion: not_run is reported only if the target got no byte of the body or refused the request itself.

--- a/targetclient/client.go
+++ b/targetclient/client.go
@@ -1,24 +1,22 @@
 package targetclient
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
-	"sync/atomic"
 	"time"
 
-	"teaselbank.example/teaselbank/ident"
 	"teaselbank.example/teaselbank/outcome"
 )
 
-// maxReplyBytes bounds a target's reply.
-const maxReplyBytes = 4 << 20
+// Bounds of a target's reply.
+const (
+	maxReplyBytes  = 4 << 20
+	maxHeaderBytes = 64 << 10
+)
 
 // Default limits of the transport.
 const (
@@ -27,7 +25,9 @@
 )
 
 // Client sends leaf requests to targets. It never sends one twice: a request carries no GetBody and no
-// Idempotency-Key header and is a POST, so that net/http does not resend it on a reused connection.
+// Idempotency-Key header and is a POST, so that net/http does not resend it on a reused connection, and redirects
+// are not followed. Cancelling the context closes the connection, by which the target notices: a message to CancelPath
+// would need a second connection, of which targets accept few, and could be lost.
 type Client struct {
 	http      *http.Client
 	transport *http.Transport
@@ -46,15 +46,24 @@
 		o.DialTimeout = defaultDialTimeout
 	}
 	t := &http.Transport{
-		DialContext:           (&net.Dialer{Timeout: o.DialTimeout}).DialContext,
-		MaxConnsPerHost:       o.ConnectionsPerTarget,
-		MaxIdleConnsPerHost:   o.ConnectionsPerTarget,
-		IdleConnTimeout:       idleTimeout,
-		DisableCompression:    true,
-		ForceAttemptHTTP2:     false,
-		ResponseHeaderTimeout: 0,
-	}
-	return &Client{http: &http.Client{Transport: t}, transport: t}
+		DialContext:         (&net.Dialer{Timeout: o.DialTimeout}).DialContext,
+		MaxConnsPerHost:     o.ConnectionsPerTarget,
+		MaxIdleConnsPerHost: o.ConnectionsPerTarget,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+		// HTTP/2 resends after a refused stream or GOAWAY.
+		Protocols:              http1Only(),
+		MaxResponseHeaderBytes: maxHeaderBytes,
+	}
+	// A followed redirect would be a second send.
+	stay := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &Client{http: &http.Client{Transport: t, CheckRedirect: stay}, transport: t}
+}
+
+func http1Only() *http.Protocols {
+	p := new(http.Protocols)
+	p.SetHTTP1(true)
+	return p
 }
 
 // Close drops idle connections.
@@ -77,106 +86,44 @@
 	if err != nil {
 		return outcome.LeafRefused(outcome.ReasonMalformed, fmt.Sprintf("query is not JSON: %v", err))
 	}
-	return c.post(ctx, address, body, r)
+	return c.post(ctx, address, newOnceBody(body, deadline), int64(len(body)), r)
 }
 
-func (c *Client) post(ctx context.Context, address string, body []byte, r outcome.LeafRequest) outcome.LeafResult {
-	// left is set as soon as a connection is handed to the request: from then on bytes may have left.
-	var left atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { left.Store(true) }}
-	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost,
-		"http://"+address+LeafPath, onceReader{bytes.NewReader(body)})
+func (c *Client) post(ctx context.Context, address string, body *onceBody, length int64, r outcome.LeafRequest) outcome.LeafResult {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+LeafPath, body)
 	if err != nil {
 		return outcome.LeafRefused(outcome.ReasonMalformed, err.Error())
 	}
-	req.ContentLength = int64(len(body))
-	req.GetBody = nil
+	req.ContentLength = length
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return sendFailure(err, left.Load())
+		return sendFailure(err, body.seal())
 	}
 	defer func() { _ = resp.Body.Close() }()
 	return readReply(resp, r)
 }
 
-// onceReader hides the type of the body, so that net/http derives no GetBody from it.
-type onceReader struct{ io.Reader }
-
+// sendFailure judges a send that got no reply. A target cannot have run a request of which it got no byte of the body.
 func sendFailure(err error, left bool) outcome.LeafResult {
-	reason := outcome.ReasonConnectionLost
-	switch {
-	case errors.Is(err, context.DeadlineExceeded):
-		reason = outcome.ReasonDeadline
-	case errors.Is(err, context.Canceled):
-		reason = outcome.ReasonCancelled
-	case !left:
-		reason = outcome.ReasonDialFailed
-	}
+	reason := failureReason(err)
 	if left {
 		return outcome.LeafLost(reason, err.Error())
 	}
-	return outcome.LeafRefused(reason, err.Error())
-}
-
-func readReply(resp *http.Response, r outcome.LeafRequest) outcome.LeafResult {
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
-	if err != nil {
-		return outcome.LeafLost(outcome.ReasonTruncated, err.Error())
-	}
-	if len(data) > maxReplyBytes {
-		return outcome.LeafLost(outcome.ReasonMalformed, fmt.Sprintf("reply exceeds %d bytes", maxReplyBytes))
-	}
-	var reply Reply
-	if err := json.Unmarshal(data, &reply); err != nil {
-		return outcome.LeafLost(outcome.ReasonMalformed, fmt.Sprintf("status %d: %v", resp.StatusCode, err))
+	var op *net.OpError
+	if reason == outcome.ReasonConnectionLost && errors.As(err, &op) && op.Op == "dial" {
+		reason = outcome.ReasonDialFailed
 	}
-	return judge(resp.StatusCode, &reply, r)
+	return outcome.LeafRefused(reason, err.Error())
 }
 
-// judge turns a whole reply into a result. Replies that are not to this request never count as its answer.
-func judge(status int, reply *Reply, r outcome.LeafRequest) outcome.LeafResult {
-	res := outcome.LeafResult{
-		ID: ident.RequestID(reply.RequestID), Shard: ident.ShardID(reply.Shard),
-		Snapshot: ident.SnapshotID(reply.Snapshot), Held: heldSnapshots(reply.Held),
-		Incarnation: reply.Incarnation, Service: time.Duration(reply.ServiceMicros) * time.Microsecond,
-	}
+func failureReason(err error) outcome.Reason {
 	switch {
-	case res.ID != r.ID || res.Shard != r.Shard:
-		res.Status, res.Reason = outcome.LeafUnknown, outcome.ReasonForeign
-	case reply.Refused != "":
-		res.Status, res.Reason = outcome.LeafNotRun, refusalReason(reply.Refused)
-	case status != http.StatusOK:
-		res.Status, res.Reason, res.Detail = outcome.LeafUnknown, outcome.ReasonTargetError, fmt.Sprintf("status %d", status)
-	case res.Snapshot != r.Snapshot:
-		res.Status, res.Reason = outcome.LeafUnknown, outcome.ReasonWrongSnapshot
-	default:
-		res.Status, res.Body = outcome.LeafOK, reply.Body
-	}
-	return res
-}
-
-func refusalReason(r Refusal) outcome.Reason {
-	switch r {
-	case RefusedShed:
-		return outcome.ReasonTargetShed
-	case RefusedDraining:
-		return outcome.ReasonTargetDraining
-	case RefusedSnapshot:
-		return outcome.ReasonSnapshotNotHeld
-	case RefusedDeadline:
+	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, errBodyLate):
 		return outcome.ReasonDeadline
-	case RefusedConnections:
-		return outcome.ReasonConnectionLimit
+	case errors.Is(err, context.Canceled):
+		return outcome.ReasonCancelled
 	default:
-		return outcome.ReasonTargetError
-	}
-}
-
-func heldSnapshots(held []string) []ident.SnapshotID {
-	out := make([]ident.SnapshotID, len(held))
-	for i, h := range held {
-		out[i] = ident.SnapshotID(h)
+		return outcome.ReasonConnectionLost
 	}
-	return out
 }
--- /dev/null
+++ b/targetclient/reply.go
@@ -0,0 +1,106 @@
+package targetclient
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"teaselbank.example/teaselbank/ident"
+	"teaselbank.example/teaselbank/outcome"
+)
+
+func readReply(resp *http.Response, r outcome.LeafRequest) outcome.LeafResult {
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
+	switch {
+	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
+		return outcome.LeafLost(failureReason(err), err.Error())
+	case err != nil:
+		return outcome.LeafLost(outcome.ReasonTruncated, err.Error())
+	case len(data) > maxReplyBytes:
+		return outcome.LeafLost(outcome.ReasonMalformed, fmt.Sprintf("reply exceeds %d bytes", maxReplyBytes))
+	}
+	return parseReply(resp.StatusCode, data, r)
+}
+
+// parseReply judges the bytes of a reply body. Whatever is not a whole and valid reply to this request leaves it
+// unknown whether the request ran.
+func parseReply(status int, data []byte, r outcome.LeafRequest) outcome.LeafResult {
+	var reply Reply
+	err := json.Unmarshal(data, &reply)
+	switch {
+	case err == nil:
+		return judge(status, &reply, r)
+	case status != http.StatusOK:
+		return outcome.LeafLost(outcome.ReasonTargetError, fmt.Sprintf("status %d without a valid refusal: %v", status, err))
+	case len(data) > 0 && endsEarly(err, len(data)):
+		return outcome.LeafLost(outcome.ReasonTruncated, err.Error())
+	default:
+		return outcome.LeafLost(outcome.ReasonMalformed, fmt.Sprintf("reply of %d bytes: %v", len(data), err))
+	}
+}
+
+// endsEarly reports whether the JSON value was still open at the end of the data. A reply that ends with its
+// connection states no length, so only its content shows that it was cut off.
+func endsEarly(err error, length int) bool {
+	var syntax *json.SyntaxError
+	return errors.As(err, &syntax) && syntax.Offset >= int64(length) && syntax.Error() == "unexpected end of JSON input"
+}
+
+// judge turns a whole reply into a result. Replies that are not to this request never count as its answer.
+func judge(status int, reply *Reply, r outcome.LeafRequest) outcome.LeafResult {
+	res := outcome.LeafResult{
+		ID: ident.RequestID(reply.RequestID), Shard: ident.ShardID(reply.Shard),
+		Snapshot: ident.SnapshotID(reply.Snapshot), Held: heldSnapshots(reply.Held),
+		Incarnation: reply.Incarnation, Service: time.Duration(reply.ServiceMicros) * time.Microsecond,
+	}
+	refusal, refused := refusalReason(status, reply)
+	switch {
+	case res.ID != r.ID || res.Shard != r.Shard:
+		res.Status, res.Reason = outcome.LeafUnknown, outcome.ReasonForeign
+	case refused:
+		res.Status, res.Reason = outcome.LeafNotRun, refusal
+	case status != http.StatusOK:
+		res.Status, res.Reason = outcome.LeafUnknown, outcome.ReasonTargetError
+		res.Detail = fmt.Sprintf("status %d without a valid refusal", status)
+	case reply.Refused != "":
+		res.Status, res.Reason, res.Detail = outcome.LeafUnknown, outcome.ReasonMalformed, "refusal with status 200"
+	case res.Snapshot != r.Snapshot:
+		res.Status, res.Reason = outcome.LeafUnknown, outcome.ReasonWrongSnapshot
+	default:
+		res.Status, res.Body = outcome.LeafOK, reply.Body
+	}
+	return res
+}
+
+// refusalReason returns the reason of a valid refusal: a status that refusals use, a known value and no result.
+func refusalReason(status int, reply *Reply) (outcome.Reason, bool) {
+	if status != http.StatusServiceUnavailable && status != http.StatusConflict || len(reply.Body) > 0 {
+		return outcome.ReasonNone, false
+	}
+	switch reply.Refused {
+	case RefusedShed:
+		return outcome.ReasonTargetShed, true
+	case RefusedDraining:
+		return outcome.ReasonTargetDraining, true
+	case RefusedSnapshot:
+		return outcome.ReasonSnapshotNotHeld, true
+	case RefusedDeadline:
+		return outcome.ReasonDeadline, true
+	case RefusedConnections:
+		return outcome.ReasonConnectionLimit, true
+	default:
+		return outcome.ReasonNone, false
+	}
+}
+
+func heldSnapshots(held []string) []ident.SnapshotID {
+	out := make([]ident.SnapshotID, len(held))
+	for i, h := range held {
+		out[i] = ident.SnapshotID(h)
+	}
+	return out
+}
