Run non-idempotent requests at most once through tickets

Cause: a delivery order or a call-out that a caller resends through another VM must not run twice, and a VM that did not issue a ticket cannot know whether an earlier copy ran. Only the issuer says not_run; whatever another VM refuses itself, a failed dial to the issuer included, is unknown.

--- a/plugin/all/all.go
+++ b/plugin/all/all.go
@@ -14,4 +14,5 @@
 	_ "teaselbank.example/teaselbank/plugin/relay"
 	_ "teaselbank.example/teaselbank/plugin/search"
 	_ "teaselbank.example/teaselbank/plugin/shutdown"
+	_ "teaselbank.example/teaselbank/plugin/ticket"
 )
--- a/plugin/callerapi/callerapi.go
+++ b/plugin/callerapi/callerapi.go
@@ -25,6 +25,7 @@
 	"teaselbank.example/teaselbank/plugin/peerapi"
 	"teaselbank.example/teaselbank/search"
 	"teaselbank.example/teaselbank/settings"
+	"teaselbank.example/teaselbank/ticket"
 )
 
 // Limits of a caller's request.
@@ -50,10 +51,12 @@
 	source   config.Source
 	searcher *search.Searcher
 	state    *lifecycle.State
+	tickets  Tickets
+	runner   TicketRunner
 }
 
-func newAPI(source config.Source, searcher *search.Searcher, state *lifecycle.State) *API {
-	return &API{source: source, searcher: searcher, state: state}
+func newAPI(source config.Source, searcher *search.Searcher, state *lifecycle.State, issuer *ticket.Issuer, router *ticket.Router) *API {
+	return &API{source: source, searcher: searcher, state: state, tickets: issuer, runner: router}
 }
 
 func serve(lc fx.Lifecycle, api *API, s *settings.Settings, logger *log.Logger) {
@@ -68,6 +71,8 @@
 	r := gin.New()
 	r.Use(gin.Recovery())
 	r.POST("/v1/search", a.search)
+	r.POST("/v1/tickets", a.issueTicket)
+	r.POST("/v1/requests", a.runRequest)
 	return r
 }
 
--- /dev/null
+++ b/plugin/ticket/ticket.go
@@ -0,0 +1,38 @@
+// Package ticket is the plug-in that issues tickets and runs non-idempotent requests at most once.
+package ticket
+
+import (
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/fx"
+
+	"teaselbank.example/teaselbank/config"
+	"teaselbank.example/teaselbank/ident"
+	"teaselbank.example/teaselbank/kernel"
+	"teaselbank.example/teaselbank/membership"
+	"teaselbank.example/teaselbank/relay"
+	"teaselbank.example/teaselbank/replica"
+	"teaselbank.example/teaselbank/search"
+	"teaselbank.example/teaselbank/settings"
+	"teaselbank.example/teaselbank/ticket"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{Name: "ticket", Options: func() fx.Option {
+		return fx.Options(
+			fx.Provide(newIssuer, newRouter),
+			fx.Invoke(func(lc fx.Lifecycle, server *relay.Server, issuer *ticket.Issuer) {
+				server.Tickets = issuer
+				lc.Append(fx.Hook{OnStop: issuer.Close})
+			}),
+		)
+	}})
+}
+
+func newIssuer(s *settings.Settings, clock clockwork.Clock, viewer membership.Viewer, source config.Source, sender search.LeafSender) *ticket.Issuer {
+	return ticket.NewIssuer(ticket.Options{Clock: clock, Viewer: viewer, Source: source, Sender: sender,
+		Chooser: &replica.Chooser{Zone: ident.Zone(s.Zone), Config: source}})
+}
+
+func newRouter(issuer *ticket.Issuer, viewer membership.Viewer, peers *relay.Peers) *ticket.Router {
+	return &ticket.Router{Issuer: issuer, Viewer: viewer, Peer: peers}
+}
--- a/relay/server.go
+++ b/relay/server.go
@@ -14,6 +14,8 @@
 type Server struct {
 	peerv1connect.UnimplementedRelayServiceHandler
 	local Local
+	// Tickets runs forwarded tickets; it is set before the server serves.
+	Tickets TicketRunner
 }
 
 // NewServer returns a server that runs leaf requests on this VM's gates.
--- /dev/null
+++ b/relay/tickets.go
@@ -0,0 +1,48 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	peerv1 "teaselbank.example/teaselbank/gen/teaselbank/peer/v1"
+	"teaselbank.example/teaselbank/outcome"
+	"teaselbank.example/teaselbank/ticket"
+)
+
+// TicketRunner runs requests of tickets that this incarnation issued.
+type TicketRunner interface {
+	Run(ctx context.Context, token string, body []byte) ticket.Outcome
+}
+
+// RunTicket runs a ticketed request that another VM forwards.
+func (s *Server) RunTicket(ctx context.Context, req *connect.Request[peerv1.RunTicketRequest]) (*connect.Response[peerv1.RunTicketResponse], error) {
+	if s.Tickets == nil {
+		return nil, connect.NewError(connect.CodeUnimplemented, nil)
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(req.Msg.GetRemainingUs())*time.Microsecond)
+	defer cancel()
+	o := s.Tickets.Run(ctx, string(req.Msg.GetTicket()), req.Msg.GetBody())
+	return connect.NewResponse(&peerv1.RunTicketResponse{Outcome: string(o.Kind), Reason: string(o.Reason), Body: o.Body, Recorded: o.Recorded}), nil
+}
+
+// RunTicket forwards a ticketed request to the VM that issued the ticket. A copy that the transport sends twice is
+// harmless: the issuer runs a ticket once.
+func (p *Peers) RunTicket(ctx context.Context, address, token string, body []byte) (ticket.Outcome, error) {
+	m := &peerv1.RunTicketRequest{Ticket: []byte(token), Body: body}
+	if deadline, ok := ctx.Deadline(); ok {
+		m.RemainingUs = time.Until(deadline).Microseconds()
+	}
+	resp, err := p.Relay(address).RunTicket(ctx, connect.NewRequest(m))
+	if err != nil {
+		return ticket.Outcome{}, err
+	}
+	o := ticket.Outcome{Kind: outcome.Kind(resp.Msg.GetOutcome()), Reason: outcome.Reason(resp.Msg.GetReason()),
+		Body: resp.Msg.GetBody(), Recorded: resp.Msg.GetRecorded()}
+	if o.Kind != outcome.Complete && o.Kind != outcome.NotRun {
+		// Anything but a definite outcome claims the least.
+		o.Kind, o.Body = outcome.Unknown, nil
+	}
+	return o, nil
+}
