Refuse queries before their fan-out by class and an adaptive limit

Cause: above capacity every query loses some of its 52 leaves to full queues, so nearly all of the work is wasted. Change: package admission with an additive-increase, multiplicative-decrease limit per VM that follows queue delay, owner refusals and missed deadlines in windows of 100 ms; batch may use 0.7 of the limit, normal 0.9, urgent all of it. There is no queue at the entry: owners queue by remaining deadline already. plugin/callerapi admits by the class field. A test assembles the daemon from all plug-ins. With a rule switched off these fail: batch's share (TestBatchIsRefusedFirstThenNormal), the increase, queue delay or owner refusals (TestLimitFallsOnEachSignalAndRecovers). Each rule was restored.

--- /dev/null
+++ b/admission/sender.go
@@ -0,0 +1,27 @@
+package admission
+
+import (
+	"context"
+
+	"teaselbank.example/teaselbank/outcome"
+)
+
+// Sender runs one leaf request.
+type Sender interface {
+	Send(ctx context.Context, r outcome.LeafRequest) outcome.LeafResult
+}
+
+// ObservedSender reports the result of each send to the controller.
+type ObservedSender struct {
+	Sender     Sender
+	Controller *Controller
+}
+
+// Send runs the request. A send that ends because its query was answered otherwise says nothing about load.
+func (s ObservedSender) Send(ctx context.Context, r outcome.LeafRequest) outcome.LeafResult {
+	res := s.Sender.Send(ctx, r)
+	if res.Reason != outcome.ReasonCancelled {
+		s.Controller.Observe(res)
+	}
+	return res
+}
--- a/plugin/all/all.go
+++ b/plugin/all/all.go
@@ -3,6 +3,7 @@
 
 import (
 	// Each import registers one plug-in.
+	_ "teaselbank.example/teaselbank/plugin/admission"
 	_ "teaselbank.example/teaselbank/plugin/callerapi"
 	_ "teaselbank.example/teaselbank/plugin/configuration"
 	_ "teaselbank.example/teaselbank/plugin/logging"
--- a/plugin/callerapi/callerapi.go
+++ b/plugin/callerapi/callerapi.go
@@ -9,13 +9,13 @@
 	"fmt"
 	"io"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/gin-gonic/gin"
 	"go.uber.org/fx"
 
+	"teaselbank.example/teaselbank/admission"
 	"teaselbank.example/teaselbank/bundle"
 	"teaselbank.example/teaselbank/config"
 	"teaselbank.example/teaselbank/ident"
@@ -37,9 +37,6 @@
 	idleTimeout    = 2 * time.Minute
 )
 
-// classes are the caller classes, most urgent first.
-var classes = []string{"urgent", "normal", "batch"}
-
 func init() {
 	kernel.Register(kernel.Plugin{Name: "callerapi", Options: func() fx.Option {
 		return fx.Options(fx.Provide(lifecycle.New, newAPI), fx.Invoke(serve))
@@ -53,10 +50,11 @@
 	state    *lifecycle.State
 	tickets  Tickets
 	runner   TicketRunner
+	admitter *admission.Controller
 }
 
-func newAPI(source config.Source, searcher *search.Searcher, state *lifecycle.State, issuer *ticket.Issuer, router *ticket.Router) *API {
-	return &API{source: source, searcher: searcher, state: state, tickets: issuer, runner: router}
+func newAPI(source config.Source, searcher *search.Searcher, state *lifecycle.State, issuer *ticket.Issuer, router *ticket.Router, admitter *admission.Controller) *API {
+	return &API{source: source, searcher: searcher, state: state, tickets: issuer, runner: router, admitter: admitter}
 }
 
 func serve(lc fx.Lifecycle, api *API, s *settings.Settings, logger *log.Logger) {
@@ -98,8 +96,14 @@
 		badRequest(c, err)
 		return
 	}
+	done, ok := a.admitter.Admit(admission.Class(req.Class))
+	if !ok {
+		refuse(c, outcome.ReasonOverload)
+		return
+	}
 	ctx, cancel := context.WithTimeout(c.Request.Context(), deadline)
 	defer cancel()
+	defer func() { done(errors.Is(ctx.Err(), context.DeadlineExceeded)) }()
 	answer := a.searcher.Search(ctx, search.Query{Service: ident.ServiceID(req.Service), Body: req.Query, MinCoverage: req.MinCoverage})
 	c.JSON(statusOf(answer.Outcome), toResponse(answer))
 }
@@ -112,7 +116,7 @@
 		return 0, &FieldError{"query", "must be a JSON value"}
 	case r.MinCoverage < 0 || r.MinCoverage > 1:
 		return 0, &FieldError{"min_coverage", "must be from 0 to 1"}
-	case r.Class != "" && !slices.Contains(classes, r.Class):
+	case r.Class != "" && !admission.Class(r.Class).Valid():
 		return 0, &FieldError{"class", "must be urgent, normal or batch"}
 	}
 	return deadlineOf(r.DeadlineMillis, &b.Policy)
