Quarantine requests that crash targets after at most two targets a zone

Cause: a request that crashes every target that runs it is resent by its caller through other VMs and would take down a shard after the other. Change: search/guard.go states the interface; package quarantine runs the canaries of a fingerprint one at a time through its home, charges a target before the send, counts connections that end without a whole reply, quarantines for 10 min and tells every peer. A send that ended without a reply or a crash keeps its target charged, and only charged targets are tried again. Suspects are never evicted early; a full table tries nothing new. If the home is unreachable the check fails and no other VM runs the canary until the view names another home; a VM that is not the home in its own view refuses.

--- a/plugin/all/all.go
+++ b/plugin/all/all.go
@@ -12,6 +12,7 @@
 	_ "teaselbank.example/teaselbank/plugin/opsapi"
 	_ "teaselbank.example/teaselbank/plugin/peerapi"
 	_ "teaselbank.example/teaselbank/plugin/placement"
+	_ "teaselbank.example/teaselbank/plugin/quarantine"
 	_ "teaselbank.example/teaselbank/plugin/relay"
 	_ "teaselbank.example/teaselbank/plugin/search"
 	_ "teaselbank.example/teaselbank/plugin/shutdown"
--- /dev/null
+++ b/relay/canary.go
@@ -0,0 +1,77 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	peerv1 "teaselbank.example/teaselbank/gen/teaselbank/peer/v1"
+	"teaselbank.example/teaselbank/ident"
+	"teaselbank.example/teaselbank/outcome"
+	"teaselbank.example/teaselbank/search"
+)
+
+// CanaryRunner runs canaries as the home of fingerprints and takes over quarantines of other homes.
+type CanaryRunner interface {
+	RunCanary(ctx context.Context, fingerprint string, canary outcome.LeafRequest, replicas []ident.TargetID) search.GuardResult
+	Quarantine(fingerprint string, remaining time.Duration)
+}
+
+// Canary runs the canary of a fingerprint whose home is this VM.
+func (s *Server) Canary(ctx context.Context, req *connect.Request[peerv1.CanaryRequest]) (*connect.Response[peerv1.CanaryResponse], error) {
+	if s.Canaries == nil {
+		return nil, connect.NewError(connect.CodeUnimplemented, nil)
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(req.Msg.GetLeaf().GetRemainingUs())*time.Microsecond)
+	defer cancel()
+	replicas := make([]ident.TargetID, len(req.Msg.GetTargetIds()))
+	for i, id := range req.Msg.GetTargetIds() {
+		replicas[i] = ident.TargetID(id)
+	}
+	res := s.Canaries.RunCanary(ctx, req.Msg.GetFingerprint(), FromMessage(req.Msg.GetLeaf()), replicas)
+	resp := &peerv1.CanaryResponse{Verdict: string(res.Verdict), TargetId: string(res.Target)}
+	if res.Leaf != nil {
+		resp.Leaf = ResultToMessage(*res.Leaf)
+	}
+	return connect.NewResponse(resp), nil
+}
+
+// Quarantine takes over the fingerprints that another home quarantined.
+func (s *Server) Quarantine(_ context.Context, req *connect.Request[peerv1.QuarantineRequest]) (*connect.Response[peerv1.QuarantineResponse], error) {
+	if s.Canaries == nil {
+		return nil, connect.NewError(connect.CodeUnimplemented, nil)
+	}
+	for _, f := range req.Msg.GetFingerprints() {
+		s.Canaries.Quarantine(f.GetFingerprint(), time.Duration(f.GetRemainingMs())*time.Millisecond)
+	}
+	return connect.NewResponse(&peerv1.QuarantineResponse{}), nil
+}
+
+// Canary asks the home at the address to run a canary.
+func (p *Peers) Canary(ctx context.Context, address, fingerprint string, canary outcome.LeafRequest, replicas []ident.TargetID) (search.GuardResult, error) {
+	m := &peerv1.CanaryRequest{Fingerprint: fingerprint, Leaf: ToMessage(ctx, canary)}
+	for _, id := range replicas {
+		m.TargetIds = append(m.TargetIds, string(id))
+	}
+	resp, err := p.Relay(address).Canary(ctx, connect.NewRequest(m))
+	if err != nil {
+		return search.GuardResult{}, err
+	}
+	res := search.GuardResult{Verdict: search.GuardVerdict(resp.Msg.GetVerdict()), Target: ident.TargetID(resp.Msg.GetTargetId())}
+	if res.Verdict != search.GuardSafe && res.Verdict != search.GuardQuarantined {
+		res.Verdict = search.GuardFailed
+	}
+	if resp.Msg.GetLeaf() != nil {
+		leaf := ResultFromMessage(resp.Msg.GetLeaf())
+		res.Leaf = &leaf
+	}
+	return res, nil
+}
+
+// Quarantine tells the VM at the address of a quarantined fingerprint. A peer that is not reached finds out for itself
+// through its own zone's home, within the bound of targets for each zone.
+func (p *Peers) Quarantine(ctx context.Context, address, fingerprint string, remaining time.Duration) {
+	_, _ = p.Relay(address).Quarantine(ctx, connect.NewRequest(&peerv1.QuarantineRequest{
+		Fingerprints: []*peerv1.QuarantinedFingerprint{{Fingerprint: fingerprint, RemainingMs: remaining.Milliseconds()}}}))
+}
--- a/relay/server.go
+++ b/relay/server.go
@@ -16,6 +16,8 @@
 	local Local
 	// Tickets runs forwarded tickets; it is set before the server serves.
 	Tickets TicketRunner
+	// Canaries answers for fingerprints whose home is this VM; it is set before the server serves.
+	Canaries CanaryRunner
 }
 
 // NewServer returns a server that runs leaf requests on this VM's gates.
--- /dev/null
+++ b/search/guard_test.go
@@ -0,0 +1,15 @@
+package search
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// Guards against two fingerprints for one query, and one fingerprint for two.
+func TestFingerprintIsCanonical(t *testing.T) {
+	one := Fingerprint("dispecerat", []byte(`{"a": 1, "b": [2 ,3]}`))
+	assert.Equal(t, one, Fingerprint("dispecerat", []byte(`{"b":[2,3],"a":1}`)))
+	assert.NotEqual(t, one, Fingerprint("subventii", []byte(`{"b":[2,3],"a":1}`)))
+	assert.NotEqual(t, Fingerprint("s", []byte(`9007199254740993`)), Fingerprint("s", []byte(`9007199254740992`)))
+}
