Measure the cost of issuing and running a ticket

Cause: the at-most-once rule must not cost a noticeable part of a request's 76 ms. Change: a benchmark that issues, runs and resends 10,000 tickets against targets that answer at once.

--- /dev/null
+++ b/benchmarks/ticket_cost.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"teaselbank.example/teaselbank/bundle"
+	"teaselbank.example/teaselbank/config"
+	"teaselbank.example/teaselbank/ident"
+	"teaselbank.example/teaselbank/membership"
+	"teaselbank.example/teaselbank/outcome"
+	"teaselbank.example/teaselbank/ticket"
+)
+
+// ticketRuns is how many tickets are issued, run and resent; it fits the table of outcomes.
+const ticketRuns = 10_000
+
+// maxTicketMicros bounds issuing and running a ticket, without the target: 0.1% of a search's 76 ms.
+const maxTicketMicros = 76
+
+func init() { register("ticket_cost", ticketCost) }
+
+func ticketCost() ([]Result, error) {
+	var fake ticketParts
+	issuer := ticket.NewIssuer(ticket.Options{Clock: clockwork.NewRealClock(), Viewer: fake, Source: fake, Chooser: fake, Sender: fake})
+	tokens := make([]string, ticketRuns)
+	start := time.Now()
+	for i := range tokens {
+		token, _, err := issuer.Issue("orders", "s1")
+		if err != nil {
+			return nil, fmt.Errorf("ticket %d: %w", i, err)
+		}
+		tokens[i] = token
+	}
+	issued := time.Since(start) / ticketRuns
+	run := perTicket(issuer, tokens)
+	resent := perTicket(issuer, tokens)
+	micros := func(d time.Duration) float64 { return float64(d.Nanoseconds()) / float64(time.Microsecond) }
+	return []Result{
+		{Name: "ticket_issue_cost", Value: micros(issued), Unit: "us", Informative: true},
+		{Name: "ticket_run_cost", Value: micros(run), Unit: "us", Informative: true},
+		{Name: "ticket_resend_cost", Value: micros(resent), Unit: "us", Informative: true},
+		{Name: "ticket_issue_and_run_cost", Value: micros(issued + run), Unit: "us", Bound: maxTicketMicros, Less: true},
+	}, nil
+}
+
+func perTicket(issuer *ticket.Issuer, tokens []string) time.Duration {
+	ctx, body := context.Background(), []byte(`{"order":1}`)
+	start := time.Now()
+	for _, token := range tokens {
+		issuer.Run(ctx, token, body)
+	}
+	return time.Since(start) / time.Duration(len(tokens))
+}
+
+// ticketParts stands for the view, the bundle and the targets; each send answers at once.
+type ticketParts struct{}
+
+// View returns a view of one VM.
+func (ticketParts) View() *membership.View {
+	return &membership.View{Self: membership.Member{ID: "vm1", Incarnation: ident.Incarnation{Token: "i1"}}}
+}
+
+// Current returns a bundle with one shard.
+func (ticketParts) Current() *config.InForce {
+	shards := []bundle.Shard{{ID: "s1", Replicas: []ident.TargetID{"t1"}}}
+	return &config.InForce{Verified: &bundle.Verified{Bundle: &bundle.Bundle{Services: []bundle.Service{
+		{ID: "orders", Snapshots: []bundle.Snapshot{{ID: "v1", Shards: shards}}}}}}}
+}
+
+// Choose returns the only replica.
+func (ticketParts) Choose(_ *bundle.Service, s *bundle.Shard, tried []ident.TargetID) (ident.TargetID, bool) {
+	return s.Replicas[0], len(tried) == 0
+}
+
+// Send answers at once.
+func (ticketParts) Send(context.Context, outcome.LeafRequest) outcome.LeafResult {
+	return outcome.LeafResult{Status: outcome.LeafOK, Body: []byte(`{"ok":true}`)}
+}
