--- /dev/null
+++ b/plugin/callerapi/tickets_test.go
@@ -0,0 +1,121 @@
+package callerapi
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"teaselbank.example/teaselbank/admission"
+	"teaselbank.example/teaselbank/bundle"
+	"teaselbank.example/teaselbank/config"
+	"teaselbank.example/teaselbank/ident"
+	"teaselbank.example/teaselbank/lifecycle"
+	"teaselbank.example/teaselbank/outcome"
+	"teaselbank.example/teaselbank/ticket"
+)
+
+// parts stands for the bundle, the issuer and the router.
+type parts struct{ result ticket.Outcome }
+
+func (parts) Current() *config.InForce {
+	return &config.InForce{Verified: &bundle.Verified{Bundle: &bundle.Bundle{Services: []bundle.Service{{ID: "orders"}},
+		Policy: bundle.Policy{DefaultDeadlineMillis: 100, MaxDeadlineMillis: 1000}}}}
+}
+
+func (parts) Issue(service ident.ServiceID, _ ident.ShardID) (string, ticket.Claims, error) {
+	switch service {
+	case "orders":
+		return "token", ticket.Claims{Shard: "s1"}, nil
+	case "full":
+		return "", ticket.Claims{}, &ticket.RefusedError{Reason: outcome.ReasonCapacity}
+	default:
+		return "", ticket.Claims{}, &ticket.RefusedError{Reason: outcome.ReasonUnknownService, Field: "service"}
+	}
+}
+
+func (p parts) Run(context.Context, string, []byte) ticket.Outcome { return p.result }
+
+func newTestAPI(p parts) *API {
+	return &API{source: p, state: lifecycle.New(), tickets: p, runner: p, admitter: admission.New(clockwork.NewFakeClock())}
+}
+
+type reply struct {
+	Outcome string
+	Reason  string
+	Ticket  string
+	Error   struct{ Field string }
+}
+
+func post(t *testing.T, a *API, path, body string) (int, reply) {
+	w := httptest.NewRecorder()
+	a.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodPost, path, strings.NewReader(body)))
+	var r reply
+	require.NoError(t, json.Unmarshal(w.Body.Bytes(), &r))
+	return w.Code, r
+}
+
+// Guards against refusals that do not name the field, or have the wrong status.
+func TestTicketsAreIssuedOrRefused(t *testing.T) {
+	a := newTestAPI(parts{})
+	status, r := post(t, a, "/v1/tickets", `{"service":"orders"}`)
+	assert.Equal(t, 200, status)
+	assert.Equal(t, "token", r.Ticket)
+	status, r = post(t, a, "/v1/tickets", `{"service":"none"}`)
+	assert.Equal(t, 400, status)
+	assert.Equal(t, "service", r.Error.Field)
+	status, r = post(t, a, "/v1/tickets", `{"service":"full"}`)
+	assert.Equal(t, 503, status)
+	assert.Equal(t, reply{Outcome: "not_run", Reason: "capacity"}, r)
+}
+
+// Guards against not_run from a VM that refuses a submission itself: an earlier copy may have run.
+func TestOnlyTheIssuerSaysNotRun(t *testing.T) {
+	a := newTestAPI(parts{})
+	for field, body := range map[string]string{"deadline_millis": `{"ticket":"t","body":1,"deadline_millis":5000}`,
+		"body": `{"ticket":"t","body":null}`} {
+		status, r := post(t, a, "/v1/requests", body)
+		assert.Equal(t, 400, status)
+		assert.Equal(t, "unknown", r.Outcome)
+		assert.Equal(t, field, r.Error.Field)
+	}
+	a.state.Drain(t.Context())
+	status, r := post(t, a, "/v1/requests", `{"ticket":"t","body":1}`)
+	assert.Equal(t, 503, status)
+	assert.Equal(t, reply{Outcome: "unknown", Reason: "draining"}, r)
+}
+
+// Guards against outcomes that reach the caller under the status of another one.
+func TestOutcomesHaveTheirStatus(t *testing.T) {
+	for status, o := range map[int]ticket.Outcome{
+		200: {Kind: outcome.Complete},
+		400: {Kind: outcome.NotRun, Reason: outcome.ReasonTicketInvalid},
+		409: {Kind: outcome.NotRun, Reason: outcome.ReasonDifferentBody},
+		503: {Kind: outcome.NotRun, Reason: outcome.ReasonTargetShed},
+		504: {Kind: outcome.Unknown, Reason: outcome.ReasonIssuerGone},
+	} {
+		got, r := post(t, newTestAPI(parts{o}), "/v1/requests", `{"ticket":"t","body":1}`)
+		assert.Equal(t, status, got)
+		assert.Equal(t, string(o.Kind), r.Outcome)
+	}
+}
+
+// Guards against a search that is fanned out although its class is refused.
+func TestSearchAboveTheLimitIsNotRun(t *testing.T) {
+	a := newTestAPI(parts{})
+	for {
+		if _, ok := a.admitter.Admit(admission.Batch); !ok {
+			break
+		}
+	}
+	// A search that were admitted would panic, because there is no searcher.
+	status, r := post(t, a, "/v1/search", `{"service":"orders","query":1,"class":"batch"}`)
+	assert.Equal(t, 503, status)
+	assert.Equal(t, reply{Outcome: "not_run", Reason: "overload"}, r)
+}
