Merge tickets, quarantine and admission

Cause: non-idempotent requests, crashing queries and overload had no rule on the request path. Conclusion: the three plug-ins hold their places in the ordered list.

--- /dev/null
+++ b/benchmarks/requestbench/doc.go
@@ -0,0 +1,2 @@
+// Package requestbench measures admission, tickets and quarantine.
+package requestbench
--- a/plugin/all/all.go
+++ b/plugin/all/all.go
@@ -3,6 +3,7 @@
 
 import (
 	// Each import registers one plug-in.
+	_ "teaselbank.example/teaselbank/plugin/admission"
 	_ "teaselbank.example/teaselbank/plugin/callerapi"
 	_ "teaselbank.example/teaselbank/plugin/configuration"
 	_ "teaselbank.example/teaselbank/plugin/logging"
@@ -11,7 +12,9 @@
 	_ "teaselbank.example/teaselbank/plugin/opsapi"
 	_ "teaselbank.example/teaselbank/plugin/peerapi"
 	_ "teaselbank.example/teaselbank/plugin/placement"
+	_ "teaselbank.example/teaselbank/plugin/quarantine"
 	_ "teaselbank.example/teaselbank/plugin/relay"
 	_ "teaselbank.example/teaselbank/plugin/search"
 	_ "teaselbank.example/teaselbank/plugin/shutdown"
+	_ "teaselbank.example/teaselbank/plugin/ticket"
 )
--- /dev/null
+++ b/plugin/ticket/chooser.go
@@ -0,0 +1,41 @@
+package ticket
+
+import (
+	"slices"
+
+	"teaselbank.example/teaselbank/bundle"
+	"teaselbank.example/teaselbank/catalog"
+	"teaselbank.example/teaselbank/ident"
+	"teaselbank.example/teaselbank/outcome"
+	"teaselbank.example/teaselbank/replica"
+)
+
+// chooser picks replicas for non-idempotent requests by what replies to searches said of them.
+type chooser struct {
+	catalog  catalog.Source
+	replicas *replica.Tracker
+}
+
+// Choose implements ticket.Chooser. It knows the shards of the newest snapshot only, which is where non-idempotent
+// requests go.
+func (c *chooser) Choose(s *bundle.Service, shard *bundle.Shard, tried []ident.TargetID) (ident.TargetID, bool) {
+	service, ok := c.catalog.Current().Service(s.ID)
+	if !ok || len(service.Snapshots) == 0 {
+		return "", false
+	}
+	newest := service.Snapshots[len(service.Snapshots)-1]
+	i := slices.IndexFunc(newest.Shards, func(candidate catalog.Shard) bool { return candidate.ID == shard.ID })
+	if i < 0 {
+		return "", false
+	}
+	kind := outcome.SendFirst
+	if len(tried) > 0 {
+		kind = outcome.SendRetry
+	}
+	choice, reason := c.replicas.Choose(replica.Need{Service: s.ID, Snapshot: newest.ID, Shard: &newest.Shards[i],
+		Kind: kind, Tried: tried, Probe: true})
+	if reason != outcome.ReasonNone {
+		return "", false
+	}
+	return choice.Target.ID, true
+}
