Count slow replies of one pause once

Cause: one pause of a process delays every request in flight, which read as a run of slow replies. In a benchmark of an owner change the target fell into cold start without reason.

Change: a slow reply counts only if its request was granted after the last counted one arrived. New benchmarks measure slots over an owner change and new connections.

--- /dev/null
+++ b/benchmarks/routing_owner.go
@@ -0,0 +1,216 @@
+package main
+
+import (
+	"context"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"teaselbank.example/teaselbank/bundle"
+	"teaselbank.example/teaselbank/gate"
+	"teaselbank.example/teaselbank/ident"
+	"teaselbank.example/teaselbank/membership"
+	"teaselbank.example/teaselbank/outcome"
+)
+
+// Sizes of the run in which the owner of a target changes.
+const (
+	ownerSenders = 12
+	ownerWarmUp  = 3 * time.Second
+	ownerPhase   = gate.TakeoverDelay + time.Second
+	viewLag      = 300 * time.Millisecond
+	// Bounds of the load over the slots: a lasting difference of views adds at most one more share.
+	maxSteadyLoad   = 1.0
+	maxDivergedLoad = 2.0
+)
+
+// Sizes of the run that counts new connections: a new owner of more targets than a VM has at the design size.
+const (
+	connectTargets = 30
+	connectSlots   = 6
+	connectPhase   = 3 * time.Second
+)
+
+func init() {
+	register("routing_owner", ownerChange)
+	register("routing_connections", connectionRate)
+}
+
+// slotTarget is a warm target that counts what runs.
+type slotTarget struct {
+	mu      sync.Mutex
+	running int
+	worst   float64
+	done    int
+}
+
+// Open implements gate.Targets.
+func (t *slotTarget) Open(string, int) gate.Runner { return t }
+
+// Send implements gate.Runner.
+func (t *slotTarget) Send(ctx context.Context, _ string, r outcome.LeafRequest) outcome.LeafResult {
+	t.mu.Lock()
+	t.running++
+	t.worst = max(t.worst, float64(t.running)/targetSlots)
+	t.mu.Unlock()
+	pause(ctx, serviceTime)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.running--
+	t.done++
+	return outcome.LeafResult{Status: outcome.LeafOK, ID: r.ID, Incarnation: "i1"}
+}
+
+func (t *slotTarget) take() (worst float64, done int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	worst, done = t.worst, t.done
+	t.worst, t.done = 0, 0
+	return worst, done
+}
+
+// ownerChange measures the load of a target over its slots while its owner is stable, while it leaves with views that
+// converge, and while the views of two VMs differ for good.
+func ownerChange() ([]Result, error) {
+	target, net := &slotTarget{}, &network{nodes: map[string]*node{}}
+	var nodes []*node
+	for _, id := range []ident.VMID{"vm-a", "vm-b"} {
+		n, err := net.newNode(id, target)
+		if err != nil {
+			return nil, err
+		}
+		nodes = append(nodes, n)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	var work sync.WaitGroup
+	defer func() {
+		stop()
+		work.Wait()
+		for _, n := range nodes {
+			n.set.Close()
+		}
+	}()
+	b := oneTarget()
+	both := members(nodes, func(int) bool { return true }, membership.Dead)
+	for _, n := range nodes {
+		n.see(both, b)
+		load(ctx, n, ownerSenders, &work)
+	}
+	pause(ctx, gate.TakeoverDelay+ownerWarmUp)
+	target.take()
+	pause(ctx, ownerPhase)
+	steady, steadyDone := target.take()
+
+	owner := 0
+	if nodes[1].set.Owned() == 1 {
+		owner = 1
+	}
+	left := members(nodes, func(i int) bool { return i != owner }, membership.Leaving)
+	nodes[1-owner].see(left, b)
+	pause(ctx, viewLag)
+	nodes[owner].see(left, b)
+	pause(ctx, ownerPhase)
+	converging, convergingDone := target.take()
+
+	net.mu.Lock()
+	net.cut = true
+	net.mu.Unlock()
+	for i, n := range nodes {
+		n.see(members(nodes, func(j int) bool { return i == j }, membership.Dead), b)
+	}
+	pause(ctx, ownerPhase)
+	diverged, _ := target.take()
+	return []Result{
+		{Name: "routing_slots_steady", Value: steady, Unit: "ratio", Bound: maxSteadyLoad, Less: true},
+		{Name: "routing_slots_views_converge", Value: converging, Unit: "ratio", Bound: maxSteadyLoad, Less: true},
+		{Name: "routing_slots_views_differ", Value: diverged, Unit: "ratio", Bound: maxDivergedLoad, Less: true},
+		{Name: "routing_throughput_over_steady_during_handover", Value: float64(convergingDone) / float64(steadyDone) *
+			float64(ownerPhase) / float64(ownerPhase+viewLag), Unit: "ratio", Informative: true},
+	}, nil
+}
+
+// pooledTarget holds real connections to a listener that keeps them open.
+type pooledTarget struct {
+	slotTarget
+	opener *gate.Opener
+}
+
+type pooledRunner struct {
+	*slotTarget
+	*gate.Pool
+}
+
+// Open implements gate.Targets.
+func (t *pooledTarget) Open(address string, connections int) gate.Runner {
+	return pooledRunner{&t.slotTarget, t.opener.NewPool(address, connections)}
+}
+
+// Hold keeps a connection for each slot, as a warm target has them.
+func (r pooledRunner) Hold(limit, ahead int) {
+	r.Pool.Hold(limit, max(ahead, min(limit, connectSlots)))
+}
+
+// connectionRate has one VM take over many targets at once, and counts the connections of each second at the listener.
+func connectionRate() ([]Result, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	accepted := make(chan time.Time, connectTargets*connectSlots)
+	go accept(listener, accepted)
+	target := &pooledTarget{opener: gate.NewOpener(clockwork.NewRealClock(), (&net.Dialer{Timeout: time.Second}).DialContext)}
+	fleet := &network{nodes: map[string]*node{}}
+	n, err := fleet.newNode("vm-a", target)
+	if err != nil {
+		return nil, err
+	}
+	b := &bundle.Bundle{Version: 1, Services: []bundle.Service{{ID: "s", Slots: connectSlots, ColdSlots: 1, Connections: 50}}}
+	for i := range connectTargets {
+		b.Services[0].Targets = append(b.Services[0].Targets, bundle.Target{ID: ident.TargetID(rune('a' + i)), Zone: "z",
+			Address: listener.Addr().String(), State: bundle.TargetServing})
+	}
+	n.see(members([]*node{n}, func(int) bool { return true }, membership.Dead), b)
+	pause(context.Background(), gate.TakeoverDelay+connectPhase)
+	n.set.Close()
+	if err := listener.Close(); err != nil {
+		return nil, err
+	}
+	most, total := busiestSecond(accepted)
+	return []Result{
+		{Name: "routing_new_connections_busiest_second", Value: float64(most), Unit: "connections", Bound: gate.ConnectRate, Less: true},
+		{Name: "routing_new_connections_total", Value: float64(total), Unit: "connections", Informative: true},
+	}, nil
+}
+
+// accept keeps connections open until the listener closes.
+func accept(l net.Listener, times chan<- time.Time) {
+	defer close(times)
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		times <- time.Now()
+	}
+}
+
+// busiestSecond returns the most connections within any one second, and how many there were.
+func busiestSecond(accepted <-chan time.Time) (most, total int) {
+	var times []time.Time
+	for t := range accepted {
+		times = append(times, t)
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	first := 0
+	for i := range times {
+		for times[i].Sub(times[first]) >= time.Second {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most, len(times)
+}
--- a/gate/coldstart.go
+++ b/gate/coldstart.go
@@ -20,6 +20,7 @@
 	normalFactor = 2
 	slowFactor   = 4
 	// slowRun is how many slow replies in a row mean a cold start; stragglers of 1 in 100 rarely come three in a row.
+	// Replies to requests that ran at the same time count once, because one pause of a process delays all of them.
 	slowRun = 3
 	// Shifts of the baseline's moving average: it follows lower latency at 1/4, and higher at 1/64, so that a slow
 	// spell does not become the norm before it is noticed, while a lasting change does in the end. In cold start it
@@ -38,7 +39,9 @@
 	limit int
 	// successes counts the run of successes at normal latency since the limit last changed.
 	successes int
+	// slow counts the run of slow replies; slowSince is when the last counted one arrived.
 	slow      int
+	slowSince time.Time
 	baseline  time.Duration
 	// normKnown says that the baseline is the latency of a warm target.
 	normKnown bool
@@ -68,8 +71,9 @@
 	}
 }
 
-// observe draws conclusions from one reply or failure; elapsed is the time the slot was held.
-func (c *coldStart) observe(res outcome.LeafResult, elapsed time.Duration) {
+// observe draws conclusions from one reply or failure; elapsed is the time the slot was held until now.
+func (c *coldStart) observe(res outcome.LeafResult, elapsed time.Duration, now time.Time) {
+	granted := now.Add(-elapsed)
 	if res.Incarnation != "" {
 		if res.Incarnation == c.previous {
 			return
@@ -86,7 +90,7 @@
 	case outcome.ReasonDeadline:
 		// A target's own refusal says nothing of its latency.
 		if res.Status == outcome.LeafUnknown {
-			c.latency(elapsed, false)
+			c.latency(elapsed, false, granted, now)
 		}
 	default:
 		if res.Status != outcome.LeafOK {
@@ -95,7 +99,7 @@
 		if res.Service > 0 {
 			elapsed = res.Service
 		}
-		c.latency(elapsed, true)
+		c.latency(elapsed, true, granted, now)
 	}
 }
 
@@ -124,7 +128,7 @@
 	c.limit = max(c.limit/2, min(c.slots, c.coldSlots))
 }
 
-func (c *coldStart) latency(d time.Duration, ok bool) {
+func (c *coldStart) latency(d time.Duration, ok bool, granted, now time.Time) {
 	if c.baseline == 0 && c.shared != nil {
 		// The first replies of a cold target are slow; taken as the norm, they would warm it up too early.
 		c.baseline = time.Duration(c.shared.Load())
@@ -142,8 +146,11 @@
 		// The replies so far were slow ones.
 		c.baseline, c.successes = max(d, 1), 0
 	case d > slowFactor*c.baseline:
-		c.slow++
 		c.successes = 0
+		if c.slow == 0 || !granted.Before(c.slowSince) {
+			c.slow++
+			c.slowSince = now
+		}
 		if c.slow >= slowRun {
 			c.fall()
 		}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -261,7 +261,7 @@
 	defer g.mu.Unlock()
 	now := g.clock.Now()
 	g.running--
-	g.cold.observe(*res, elapsed)
+	g.cold.observe(*res, elapsed, now)
 	if res.Reason == outcome.ReasonTargetDraining {
 		g.drainedUntil = now.Add(DrainHold)
 		g.cold.fall()
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -140,10 +140,18 @@
 		cold  bool
 		limit int
 	}{
-		"normal reply":          {one(ok("i1")), false, 6},
-		"changed incarnation":   {one(ok("i2")), true, 1},
-		"one straggler":         {func(b *bench) { slow(b, 1) }, false, 6},
-		"run of slow replies":   {func(b *bench) { slow(b, slowRun) }, true, 1},
+		"normal reply":        {one(ok("i1")), false, 6},
+		"changed incarnation": {one(ok("i2")), true, 1},
+		"one straggler":       {func(b *bench) { slow(b, 1) }, false, 6},
+		"run of slow replies": {func(b *bench) { slow(b, slowRun) }, true, 1},
+		"one pause": {func(b *bench) {
+			b.running += slowRun
+			b.clock.Advance(5 * base)
+			for range slowRun {
+				res := ok("i1")
+				b.finish(&res, 5*base)
+			}
+		}, false, 6},
 		"shed":                  {one(outcome.LeafRefused(outcome.ReasonTargetShed, "")), true, 3},
 		"connection lost":       {one(outcome.LeafLost(outcome.ReasonConnectionLost, "")), true, 1},
 		"dial failed":           {one(outcome.LeafRefused(outcome.ReasonDialFailed, "")), true, 1},
