Warm targets up by their median latency, and wait longer after a failure

Cause: a run with two daemons, the stand-in platform and four stand-in targets showed two faults. One reply beyond normal latency ended a run, so targets stayed at one slot after 1,800 successes each; and a restarted target that needs 300 requests to warm up was overloaded 8 times in 9 s, because 32 successes doubled its limit.

Change: the baseline follows the median of the replies instead of their low end. A reply beyond normal latency takes 4 successes back. After a restart or a failed connection the first doubling takes 1,024 successes, and each failure above the cold-start limit doubles that, up to 8 times; after slow replies alone it takes 32 for each slot as before. A request counts as hopeless by half of the median.

Conclusion: after a restart a target stays at its cold slots for about 3 s of work at 3 ms; other replicas serve meanwhile.

--- a/benchmarks/routing_owner.go
+++ b/benchmarks/routing_owner.go
@@ -22,6 +22,8 @@
 	ownerWarmUp  = 3 * time.Second
 	ownerPhase   = gate.TakeoverDelay + time.Second
 	viewLag      = 300 * time.Millisecond
+	// divergedPhase is long enough for the second owner to take the target for warm.
+	divergedPhase = gate.TakeoverDelay + 6*time.Second
 	// Bounds of the load over the slots: a lasting difference of views adds at most one more share.
 	maxSteadyLoad   = 1.0
 	maxDivergedLoad = 2.0
@@ -121,7 +123,7 @@
 	for i, n := range nodes {
 		n.see(members(nodes, func(j int) bool { return i == j }, membership.Dead), b)
 	}
-	pause(ctx, ownerPhase)
+	pause(ctx, divergedPhase)
 	diverged, _ := target.take()
 	return []Result{
 		{Name: "routing_slots_steady", Value: steady, Unit: "ratio", Bound: maxSteadyLoad, Less: true},
--- a/gate/coldstart.go
+++ b/gate/coldstart.go
@@ -12,9 +12,11 @@
 	// warmRun is how many successes at normal latency, for each slot of the limit, double the limit. A run has to be
 	// long enough that a target which fails under a higher limit shows it before the next doubling.
 	warmRun = 32
-	// firstRun is the run that doubles the limit first when nothing tells the target's normal latency: its first replies
-	// may all be slow ones of a cold target, and only a target that is warm stays at one latency for long.
-	firstRun = 1024
+	// firstRun is the run that doubles the limit first after a restart or a failure, or when nothing tells the target's
+	// normal latency. How long a target takes to warm up is unknown, and too early a doubling makes it fail; each such
+	// failure doubles the run, up to maxBackoff times.
+	firstRun   = 1024
+	maxBackoff = 3
 	// normalFactor and slowFactor are multiples of the baseline: a reply up to the first is normal, one beyond the
 	// second is slow.
 	normalFactor = 2
@@ -22,12 +24,14 @@
 	// slowRun is how many slow replies in a row mean a cold start; stragglers of 1 in 100 rarely come three in a row.
 	// Replies to requests that ran at the same time count once, because one pause of a process delays all of them.
 	slowRun = 3
-	// Shifts of the baseline's moving average: it follows lower latency at 1/4, and higher at 1/64, so that a slow
-	// spell does not become the norm before it is noticed, while a lasting change does in the end. In cold start it
-	// rises at 1/1024 only: the replies are slow then, and 1/64 takes three times the norm for normal after 45 of them.
-	baselineDownShift   = 2
-	baselineUpShift     = 6
-	baselineUpShiftCold = 10
+	// oddCost is how many successes one reply beyond normal latency takes back from a run. Requests differ in cost and
+	// some replies straggle, so single ones do not end a run; a target with one in five beyond normal stays cold.
+	oddCost = 4
+	// The baseline follows the median: each reply above or below it moves it by the same part, 1/64. At a cold target
+	// whose norm is known the part is 1/1024, so that slow replies do not become the norm, while a lasting change does
+	// in the end.
+	baselineShift     = 6
+	baselineShiftCold = 10
 )
 
 // coldStart infers from replies whether a target is in cold start, and how many requests it bears at once.
@@ -37,12 +41,17 @@
 
 	cold  bool
 	limit int
+	// need is how many successes double the limit next; backoff counts the failures above the cold-start limit.
+	need    int
+	backoff int
 	// successes counts the run of successes at normal latency since the limit last changed.
 	successes int
 	// slow counts the run of slow replies; slowSince is when the last counted one arrived.
 	slow      int
 	slowSince time.Time
 	baseline  time.Duration
+	// runBaseline is the baseline at the beginning of the run.
+	runBaseline time.Duration
 	// normKnown says that the baseline is the latency of a warm target.
 	normKnown bool
 	// shared is the baseline of warm targets of the same service at this VM, in nanoseconds; 0 or nil if there is none.
@@ -55,7 +64,7 @@
 
 // newColdStart returns a state that takes the target to be cold, which claims the least.
 func newColdStart(slots, coldSlots int) coldStart {
-	return coldStart{slots: slots, coldSlots: coldSlots, cold: true, limit: min(slots, coldSlots)}
+	return coldStart{slots: slots, coldSlots: coldSlots, cold: true, limit: min(slots, coldSlots), need: firstRun}
 }
 
 // resize changes the budgets. A smaller budget in cold start begins again at the cold-start limit, because the sum over
@@ -86,7 +95,7 @@
 	case outcome.ReasonTargetShed, outcome.ReasonConnectionLimit:
 		c.shed()
 	case outcome.ReasonConnectionLost, outcome.ReasonDialFailed, outcome.ReasonTruncated:
-		c.fall()
+		c.restart()
 	case outcome.ReasonDeadline:
 		// A target's own refusal says nothing of its latency.
 		if res.Status == outcome.LeafUnknown {
@@ -111,14 +120,27 @@
 	known := c.incarnation != ""
 	c.previous, c.incarnation = c.incarnation, incarnation
 	if known {
-		c.fall()
+		c.restart()
 	}
 	return known
 }
 
-// fall puts the target into cold start.
+// restart puts the target into cold start after a restart or a failure.
+func (c *coldStart) restart() {
+	if c.cold && c.limit > min(c.slots, c.coldSlots) {
+		c.backoff = min(c.backoff+1, maxBackoff)
+	}
+	c.fall()
+	c.need = firstRun << c.backoff
+}
+
+// fall puts the target into cold start because of slow replies, which also show when it is warm again.
 func (c *coldStart) fall() {
+	if !c.cold || c.limit > min(c.slots, c.coldSlots) {
+		c.need = warmRun * min(c.slots, c.coldSlots)
+	}
 	c.cold, c.limit, c.successes, c.slow = true, min(c.slots, c.coldSlots), 0, 0
+	c.runBaseline = c.baseline
 }
 
 // shed halves the limit; at the cold-start limit the target counts as cold.
@@ -135,18 +157,15 @@
 		c.normKnown = c.baseline > 0
 	}
 	if c.baseline == 0 {
-		if ok {
-			c.baseline = max(d, 1)
-			c.succeed()
+		if !ok {
+			return
 		}
-		return
+		c.baseline = max(d, time.Microsecond)
+		c.runBaseline = c.baseline
 	}
 	switch {
-	case ok && !c.normKnown && normalFactor*d < c.baseline:
-		// The replies so far were slow ones.
-		c.baseline, c.successes = max(d, 1), 0
 	case d > slowFactor*c.baseline:
-		c.successes = 0
+		c.successes = max(0, c.successes-oddCost)
 		if c.slow == 0 || !granted.Before(c.slowSince) {
 			c.slow++
 			c.slowSince = now
@@ -158,39 +177,48 @@
 		c.slow = 0
 		c.succeed()
 	default:
-		c.slow, c.successes = 0, 0
+		c.slow, c.successes = 0, max(0, c.successes-oddCost)
 	}
 	c.learn(d)
-	if !c.cold && c.shared != nil {
-		c.shared.Store(int64(c.baseline))
-	}
 }
 
+// learn moves the baseline towards the median.
 func (c *coldStart) learn(d time.Duration) {
-	if d < c.baseline {
-		c.baseline -= (c.baseline - d) >> baselineDownShift
-		return
+	shift := baselineShift
+	if c.cold && c.normKnown {
+		shift = baselineShiftCold
+	}
+	switch {
+	case d > c.baseline:
+		c.baseline += max(1, c.baseline>>shift)
+	case d < c.baseline:
+		c.baseline -= c.baseline >> shift
+	}
+	if !c.normKnown && normalFactor*c.baseline < c.runBaseline {
+		// The replies so far were slow ones.
+		c.runBaseline, c.successes = c.baseline, 0
 	}
-	shift := baselineUpShift
-	if c.cold {
-		shift = baselineUpShiftCold
+	if !c.cold && c.shared != nil {
+		c.shared.Store(int64(c.baseline))
 	}
-	c.baseline += (min(d, normalFactor*c.baseline) - c.baseline) >> shift
 }
 
+// quick is a low estimate of the target's latency, by which only hopeless requests are refused.
+func (c *coldStart) quick() time.Duration { return c.baseline / 2 }
+
 func (c *coldStart) succeed() {
 	if !c.cold {
 		return
 	}
 	c.successes++
-	run := warmRun * c.limit
-	if !c.normKnown {
-		run = firstRun
-	}
-	if c.successes < run {
+	if c.successes < c.need {
 		return
 	}
 	c.successes, c.normKnown = 0, true
+	c.runBaseline = c.baseline
 	c.limit = min(2*c.limit, c.slots)
-	c.cold = c.limit < c.slots
+	c.need = warmRun * c.limit
+	if c.limit == c.slots {
+		c.cold, c.backoff = false, 0
+	}
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -150,7 +150,7 @@
 	pending := g.waiting.ahead(w.deadline) + g.running + g.owner.inherited()
 	if g.owner.stage == owned && pending > 0 {
 		rounds := max(0, pending-limit+1)
-		wait := time.Duration(rounds) * g.cold.baseline / time.Duration(max(1, limit))
+		wait := time.Duration(rounds) * g.cold.quick() / time.Duration(max(1, limit))
 		return g.inTime(w, now.Add(wait))
 	}
 	return verdict{}
@@ -176,10 +176,9 @@
 	return verdict{}
 }
 
-// inTime refuses a request that cannot finish when it starts at the given time. The baseline is a low estimate of the
-// target's latency, so only hopeless requests are refused.
+// inTime refuses a request that cannot finish when it starts at the given time.
 func (g *Gate) inTime(w *waiter, start time.Time) verdict {
-	if start.Add(g.cold.baseline).After(w.deadline) {
+	if start.Add(g.cold.quick()).After(w.deadline) {
 		return verdict{outcome.ReasonDeadline, "the request cannot finish in time"}
 	}
 	return verdict{}
@@ -264,7 +263,7 @@
 	g.cold.observe(*res, elapsed, now)
 	if res.Reason == outcome.ReasonTargetDraining {
 		g.drainedUntil = now.Add(DrainHold)
-		g.cold.fall()
+		g.cold.restart()
 	}
 	g.hold(now)
 	g.recheck(now)
--- a/gate/ownership.go
+++ b/gate/ownership.go
@@ -92,7 +92,7 @@
 		// Whatever an earlier ownership knew of the target is out of date.
 		o.stage, g.limits = takingOver, next
 		g.cold.resize(next.usable(), next.ColdSlots)
-		g.cold.fall()
+		g.cold.restart()
 	}
 	g.clock.AfterFunc(TakeoverDelay, g.endDelay)
 }
@@ -145,6 +145,9 @@
 	g.cold.incarnation, g.cold.cold = states[0].Incarnation, cold
 	g.cold.limit = max(g.cold.limit, min(limit, g.owner.next.usable()))
 	g.cold.normKnown = !cold
+	if g.cold.limit > g.owner.next.ColdSlots {
+		g.cold.need = warmRun * g.cold.limit
+	}
 }
 
 // noHandover notes that a previous owner does not answer: what it ran, it may still run until the delay ends.
@@ -189,7 +192,7 @@
 		return
 	}
 	if o.stage != owned {
-		g.cold.fall()
+		g.cold.restart()
 	}
 	g.own(now)
 }
