Follow a handover before the view does, and expose gate metrics

Cause: between a handover and the arrival of the new view, and for as long as a leaving VM sees itself as alive, the previous owner refused its own requests as not_owner although it knew the successor.

Change: a router whose own gate was released on request sends to that successor as its one recompute.

--- a/gate/ownership.go
+++ b/gate/ownership.go
@@ -311,6 +311,19 @@
 	return true
 }
 
+// successor returns the VM that the share was released to on request.
+func (g *Gate) successor() (ident.VMID, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.owner.stage != released || len(g.owner.successors) != 1 {
+		return "", false
+	}
+	for vm := range g.owner.successors {
+		return vm, true
+	}
+	return "", false
+}
+
 // succeed notes the owners that a plan names for a target that this VM no longer owns.
 func (g *Gate) succeed(owners []placement.Owner) {
 	g.mu.Lock()
--- a/gate/set.go
+++ b/gate/set.go
@@ -304,5 +304,14 @@
 	return g.Do(ctx, r)
 }
 
+// Successor returns the VM that this VM handed the target over to although its own plan does not follow yet.
+func (s *Set) Successor(id ident.TargetID) (ident.VMID, bool) {
+	g, ok := (*s.gates.Load())[id]
+	if !ok {
+		return "", false
+	}
+	return g.successor()
+}
+
 // Owned returns how many targets this VM owns.
 func (s *Set) Owned() int { return len(*s.gates.Load()) }
--- a/plugin/placement/placement.go
+++ b/plugin/placement/placement.go
@@ -10,6 +10,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/jonboulle/clockwork"
+	"go.opentelemetry.io/otel/metric"
 	"go.uber.org/fx"
 
 	"teaselbank.example/teaselbank/config"
@@ -43,13 +44,13 @@
 
 func newPolicy(viewer membership.Viewer) *gate.Policy { return gate.NewPolicy(viewer) }
 
-func newGates(lc fx.Lifecycle, s *settings.Settings, clock clockwork.Clock, policy *gate.Policy, targets *targets, previous gate.Predecessor) *gate.Set {
+func newGates(lc fx.Lifecycle, s *settings.Settings, clock clockwork.Clock, policy *gate.Policy, targets *targets, previous gate.Predecessor, meter metric.Meter) (*gate.Set, error) {
 	set := gate.NewSet(gate.Options{Self: ident.VMID(s.VMID), Clock: clock, Rules: policy, Targets: targets, Predecessor: previous})
 	lc.Append(fx.Hook{OnStop: func(context.Context) error {
 		set.Close()
 		return nil
 	}})
-	return set
+	return set, set.Observe(meter)
 }
 
 func newHandler(s *gate.Server) peerapi.Handler {
--- a/relay/router.go
+++ b/relay/router.go
@@ -22,6 +22,11 @@
 	DoLeaf(ctx context.Context, r outcome.LeafRequest) outcome.LeafResult
 }
 
+// Successors is implemented by a Local that knows whom it handed a target over to while the plan does not follow yet.
+type Successors interface {
+	Successor(target ident.TargetID) (ident.VMID, bool)
+}
+
 // Options are the surroundings of a Router.
 type Options struct {
 	Self    ident.VMID
@@ -58,7 +63,7 @@
 	res := r.sendTo(ctx, owner, req)
 	if notOwner(res) && !req.NonIdempotent {
 		// The plan may have changed meanwhile; an unchanged one names no other owner of a target that has only one.
-		if next, _ := r.owner(ctx, req.Target, owner); next != "" {
+		if next := r.other(ctx, req.Target, owner); next != "" {
 			r.counters.recompute(ctx)
 			res = r.sendTo(ctx, next, req)
 		}
@@ -67,6 +72,15 @@
 	return res
 }
 
+// other returns the VM to send to after one said that it is not the owner, or none.
+func (r *Router) other(ctx context.Context, id ident.TargetID, denied ident.VMID) ident.VMID {
+	next, _ := r.owner(ctx, id, denied)
+	if s, ok := r.Local.(Successors); ok && next == "" && denied == r.Self {
+		next, _ = s.Successor(id)
+	}
+	return next
+}
+
 func notOwner(res outcome.LeafResult) bool {
 	return res.Status == outcome.LeafNotRun && res.Reason == outcome.ReasonNotOwner
 }
--- a/relay/router_test.go
+++ b/relay/router_test.go
@@ -20,6 +20,9 @@
 
 type localFunc func(outcome.LeafRequest) outcome.LeafResult
 
+// Successor says that the VM handed every target over to vm-b.
+func (f localFunc) Successor(ident.TargetID) (ident.VMID, bool) { return "vm-b", true }
+
 func (f localFunc) DoLeaf(_ context.Context, r outcome.LeafRequest) outcome.LeafResult { return f(r) }
 
 // startPeer serves a VM's relay calls and returns its address.
@@ -142,3 +145,11 @@
 	require.Equal(t, map[ident.VMID]int{"vm-b": 1, "vm-c": 1}, f.calls)
 	require.EqualValues(t, 2, f.count(t, "relay_owner_recomputes"))
 }
+
+// Guards against refusals at a previous owner that has handed over before its own view follows.
+func TestRouterFollowsAHandover(t *testing.T) {
+	f := newFleet(t, map[ident.VMID]outcome.LeafResult{"vm-a": denied, "vm-b": answered})
+	f.own("vm-a")
+	require.Equal(t, outcome.LeafOK, f.Send(t.Context(), leaf).Status)
+	require.Equal(t, map[ident.VMID]int{"vm-a": 1, "vm-b": 1}, f.calls)
+}
