--- a/gate/handover_test.go
+++ b/gate/handover_test.go
@@ -25,6 +25,8 @@
 	require.Equal(t, granted, b.verdict(b.ask(outcome.SendFirst, time.Second)), "and nothing changes")
 	require.Equal(t, State{Target: "t1", InFlight: 1, Limit: 1, Cold: true, Released: true}, b.handOver("vm-x", true))
 	require.True(t, b.handOver("vm-x", true).Released)
+	successor, _ := b.successor()
+	require.Equal(t, ident.VMID("vm-x"), successor)
 	b.warm(time.Millisecond)
 	require.False(t, b.handOver("vm-y", true).Released, "vm-x may hold the share")
 	require.Equal(t, outcome.ReasonNotOwner, b.verdict(b.ask(outcome.SendFirst, time.Second)))
@@ -47,7 +49,7 @@
 
 // Guards against a handover that loses a field on the wire, or claims success when the peer is not reachable.
 func TestHandoverOverTheWire(t *testing.T) {
-	w := newWorld(t.Context(), 1, 6, 2)
+	w := newWorld(t.Context(), 1, 6, 2, 25)
 	w.see(0, 1, membership.Dead)
 	gate := (*w.sets[0].gates.Load())["t1"]
 	gate.endDelay()
@@ -61,6 +63,7 @@
 	states, err := client.Handover(t.Context(), address, "vm-x", []ident.TargetID{"t1", "t2"})
 	require.NoError(t, err)
 	require.Equal(t, []State{{Target: "t1", InFlight: 3, Limit: 2, Cold: true, Incarnation: "i7", Released: true}}, states)
+	require.Equal(t, Totals{Owned: 1, Cold: 1, TakingOver: 1, Running: 3}, w.sets[0].Totals())
 	server.Close()
 	_, err = client.Handover(context.Background(), address, "vm-x", []ident.TargetID{"t1"})
 	require.Error(t, err)
--- a/gate/ownership.go
+++ b/gate/ownership.go
@@ -37,8 +37,11 @@
 	lost     bool
 	// states are the answers of previous owners.
 	states []State
-	// unsure says that this VM gave its share up before its own takeover ended, so it cannot vouch for an earlier owner.
+	// unsure says that this VM lost the target before its own takeover or growth ended, so it cannot vouch for an earlier
+	// owner.
 	unsure bool
+	// sole says that the last plan that gave the target to this VM named no other owner.
+	sole bool
 	// successors are the VMs that this VM has seen take the target over since it last owned it, with the time.
 	successors map[ident.VMID]time.Time
 	// inFlight is what previous owners still run; it occupies slots of this owner.
@@ -92,11 +95,18 @@
 		// Whatever an earlier ownership knew of the target is out of date.
 		o.stage, g.limits = takingOver, next
 		g.cold.resize(next.usable(), next.ColdSlots)
-		g.cold.fall()
+		g.cold.restart()
 	}
 	g.clock.AfterFunc(TakeoverDelay, g.endDelay)
 }
 
+// setSole notes whether this VM is the only owner by its plan.
+func (g *Gate) setSole(sole bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.owner.sole = sole
+}
+
 // settled reports whether no change of owner is under way.
 func (g *Gate) settled() bool {
 	g.mu.Lock()
@@ -145,6 +155,9 @@
 	g.cold.incarnation, g.cold.cold = states[0].Incarnation, cold
 	g.cold.limit = max(g.cold.limit, min(limit, g.owner.next.usable()))
 	g.cold.normKnown = !cold
+	if g.cold.limit > g.owner.next.ColdSlots {
+		g.cold.need = warmRun * g.cold.limit
+	}
 }
 
 // noHandover notes that a previous owner does not answer: what it ran, it may still run until the delay ends.
@@ -189,7 +202,7 @@
 		return
 	}
 	if o.stage != owned {
-		g.cold.fall()
+		g.cold.restart()
 	}
 	g.own(now)
 }
@@ -258,7 +271,7 @@
 func (g *Gate) release() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.owner.unsure = g.owner.unsure || g.owner.stage == takingOver
+	g.owner.unsure = g.owner.unsure || g.owner.stage == takingOver || len(g.owner.asked) > 0
 	g.owner.stage, g.owner.until, g.owner.asked = released, time.Time{}, nil
 	now := g.clock.Now()
 	g.hold(now)
@@ -274,7 +287,7 @@
 	now := g.clock.Now()
 	o := &g.owner
 	// During its own takeover this VM grants nothing, but an earlier owner may.
-	vouches := solely && o.stage != takingOver && len(o.asked) == 0 && !o.unsure && o.onlyHolder(from, nil, now)
+	vouches := solely && o.sole && o.stage != takingOver && len(o.asked) == 0 && !o.unsure && o.onlyHolder(from, nil, now)
 	if vouches {
 		o.succeededBy(from, now)
 	}
@@ -308,6 +321,19 @@
 	return true
 }
 
+// successor returns the VM that the share was released to on request.
+func (g *Gate) successor() (ident.VMID, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.owner.stage != released || len(g.owner.successors) != 1 {
+		return "", false
+	}
+	for vm := range g.owner.successors {
+		return vm, true
+	}
+	return "", false
+}
+
 // succeed notes the owners that a plan names for a target that this VM no longer owns.
 func (g *Gate) succeed(owners []placement.Owner) {
 	g.mu.Lock()
--- a/gate/set.go
+++ b/gate/set.go
@@ -127,7 +127,9 @@
 		if share, own := t.OwnedBy(s.Self); own {
 			limits := Limits{Slots: share.Slots, ColdSlots: share.ColdSlots, Connections: share.Connections,
 				Queue: share.Slots * queuePerSlot}
-			c.next[t.ID] = s.follow(c, t, old[t.ID], limits)
+			g := s.follow(c, t, old[t.ID], limits)
+			g.setSole(len(t.Owners) == 1)
+			c.next[t.ID] = g
 		}
 	})
 	s.gates.Store(&c.next)
@@ -317,5 +319,14 @@
 	return g.Do(ctx, r)
 }
 
+// Successor returns the VM that this VM handed the target over to although its own plan does not follow yet.
+func (s *Set) Successor(id ident.TargetID) (ident.VMID, bool) {
+	g, ok := (*s.gates.Load())[id]
+	if !ok {
+		return "", false
+	}
+	return g.successor()
+}
+
 // Owned returns how many targets this VM owns.
 func (s *Set) Owned() int { return len(*s.gates.Load()) }
