--- a/benchmarks/routing_owner.go
+++ b/benchmarks/routingbench/owner.go
@@ -1,4 +1,4 @@
-package main
+package routingbench
 
 import (
 	"context"
@@ -9,6 +9,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"teaselbank.example/teaselbank/benchmarks/bench"
 	"teaselbank.example/teaselbank/bundle"
 	"teaselbank.example/teaselbank/gate"
 	"teaselbank.example/teaselbank/ident"
@@ -37,8 +38,8 @@
 )
 
 func init() {
-	register("routing_owner", ownerChange)
-	register("routing_connections", connectionRate)
+	bench.Register("routing_owner", ownerChange)
+	bench.Register("routing_connections", connectionRate)
 }
 
 // slotTarget is a warm target that counts what runs.
@@ -76,7 +77,7 @@
 
 // ownerChange measures the load of a target over its slots while its owner is stable, while it leaves with views that
 // converge, and while the views of two VMs differ for good.
-func ownerChange() ([]Result, error) {
+func ownerChange() ([]bench.Result, error) {
 	target, net := &slotTarget{}, &network{nodes: map[string]*node{}}
 	var nodes []*node
 	for _, id := range []ident.VMID{"vm-a", "vm-b"} {
@@ -99,7 +100,7 @@
 	both := members(nodes, func(int) bool { return true }, membership.Dead)
 	for _, n := range nodes {
 		n.see(both, b)
-		load(ctx, n, ownerSenders, &work)
+		keepBusy(ctx, n, ownerSenders, &work)
 	}
 	pause(ctx, gate.TakeoverDelay+ownerWarmUp)
 	target.take()
@@ -125,7 +126,7 @@
 	}
 	pause(ctx, divergedPhase)
 	diverged, _ := target.take()
-	return []Result{
+	return []bench.Result{
 		{Name: "routing_slots_steady", Value: steady, Unit: "ratio", Bound: maxSteadyLoad, Less: true},
 		{Name: "routing_slots_views_converge", Value: converging, Unit: "ratio", Bound: maxSteadyLoad, Less: true},
 		{Name: "routing_slots_views_differ", Value: diverged, Unit: "ratio", Bound: maxDivergedLoad, Less: true},
@@ -156,7 +157,7 @@
 }
 
 // connectionRate has one VM take over many targets at once, and counts the connections of each second at the listener.
-func connectionRate() ([]Result, error) {
+func connectionRate() ([]bench.Result, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -181,7 +182,7 @@
 		return nil, err
 	}
 	most, total := busiestSecond(accepted)
-	return []Result{
+	return []bench.Result{
 		{Name: "routing_new_connections_busiest_second", Value: float64(most), Unit: "connections", Bound: gate.ConnectRate, Less: true},
 		{Name: "routing_new_connections_total", Value: float64(total), Unit: "connections", Informative: true},
 	}, nil
--- a/benchmarks/routing_send.go
+++ b/benchmarks/routingbench/send.go
@@ -1,4 +1,4 @@
-package main
+package routingbench
 
 import (
 	"context"
@@ -13,6 +13,7 @@
 	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
 	"google.golang.org/protobuf/proto"
 
+	"teaselbank.example/teaselbank/benchmarks/bench"
 	"teaselbank.example/teaselbank/bundle"
 	peerv1 "teaselbank.example/teaselbank/gen/teaselbank/peer/v1"
 	"teaselbank.example/teaselbank/ident"
@@ -36,7 +37,7 @@
 	queryBytes   = 200
 )
 
-func init() { register("routing_send", sendCost) }
+func init() { bench.Register("routing_send", sendCost) }
 
 // answerAll is a peer that answers every relay call with the same bytes, so that only the sender's work is measured.
 type answerAll struct{ reply []byte }
@@ -61,8 +62,8 @@
 type sendPoint struct{ micros, allocs float64 }
 
 // sendCost measures a relayed leaf request on its sender over growing numbers of leafs and VMs.
-func sendCost() ([]Result, error) {
-	var results []Result
+func sendCost() ([]bench.Result, error) {
+	var results []bench.Result
 	series := map[string][][2]int{
 		"leafs": {{designVMs, 375}, {designVMs, 750}, {designVMs, 1500}, {designVMs, designTargets}},
 		"vms":   {{82, designTargets}, {164, designTargets}, {328, designTargets}, {designVMs, designTargets}},
@@ -77,13 +78,13 @@
 			points = append(points, p)
 			at := fmt.Sprintf("%d_vms_%d_leafs_by_%s", size[0], size[1], name)
 			results = append(results,
-				Result{Name: "routing_send_cpu_" + at, Value: p.micros, Unit: "us", Bound: maxSendMicros, Less: true},
-				Result{Name: "routing_send_allocs_" + at, Value: p.allocs, Unit: "allocs", Bound: maxSendAllocs, Less: true})
+				bench.Result{Name: "routing_send_cpu_" + at, Value: p.micros, Unit: "us", Bound: maxSendMicros, Less: true},
+				bench.Result{Name: "routing_send_allocs_" + at, Value: p.allocs, Unit: "allocs", Bound: maxSendAllocs, Less: true})
 		}
 		first, last := points[0], points[len(points)-1]
 		results = append(results,
-			Result{Name: "routing_send_cpu_growth_by_" + name, Value: last.micros / first.micros, Unit: "ratio", Bound: maxSendGrowth, Less: true},
-			Result{Name: "routing_send_allocs_growth_by_" + name, Value: last.allocs / first.allocs, Unit: "ratio", Bound: maxSendGrowth, Less: true})
+			bench.Result{Name: "routing_send_cpu_growth_by_" + name, Value: last.micros / first.micros, Unit: "ratio", Bound: maxSendGrowth, Less: true},
+			bench.Result{Name: "routing_send_allocs_growth_by_" + name, Value: last.allocs / first.allocs, Unit: "ratio", Bound: maxSendGrowth, Less: true})
 	}
 	return results, nil
 }
