--- a/membership/timing.go
+++ b/membership/timing.go
@@ -12,6 +12,13 @@
 	helperTimeout = 400 * time.Millisecond
 	helpers       = 2
 	suspicionTime = 2 * time.Second
+	// heardSuspicionTime holds where a suspicion was only heard of: the VM that began it is in touch with the suspect
+	// and declares it dead first, and a refutation has more time to come through under loss.
+	heardSuspicionTime = suspicionTime + time.Second
+	// tellInterval is how often the VM that began a suspicion tells the suspect of it, so that it can refute.
+	tellInterval = 400 * time.Millisecond
+	// suspectTellers is how many of the VMs that hear of a suspicion tell the suspect, over the whole fleet.
+	suspectTellers = 8
 
 	pushFanout = 4
 	// pushDelay gathers the changes of one moment into one push.
@@ -25,7 +32,8 @@
 	maxUpdateBytes = 2048
 	// updateOverheadBytes is what the encoding of one update adds to its strings.
 	updateOverheadBytes = 32
-	// gossipFactor times the binary logarithm of the fleet is how often an update is piggybacked.
+	// gossipFactor times the binary logarithm of the fleet is how often an update is piggybacked. At 1, a push that
+	// missed a VM was not repaired within 3 s, and refutations came too late under loss.
 	gossipFactor = 3
 
 	// deadProbeInterval and deadProbeShare bound probes to dead members: at every interval about deadProbeShare
