Explain from the command line why a target or zone gets no work

Cause: the answer existed only as JSON of the operators' port, and the text form of a search did not name the missing shards. Measured: the new test covers a known zone, a misspelt one (exit 3) and a missing flag (exit 2). Conclusion: the operators' questions of docs/operations/zones.md can be answered without curl.

--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -173,3 +173,22 @@
 	s.run(cli.ExitFailure, `search --service dispecerat --query {} --vm `+server.URL)
 	s.run(cli.ExitUsage, `search --service dispecerat --query {bad --vm `+server.URL)
 }
+
+// An operator who asks why a zone gets no work needs the causes, and a misspelt name must not look like an answer.
+func TestExplainNamesCauses(t *testing.T) {
+	s := newShell(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		known := r.URL.Query().Get("zone") == "lupeni"
+		e := statusapi.Explanation{Kind: "zone", ID: r.URL.Query().Get("zone"), Known: known}
+		if known {
+			e.Add("zone_out", "operators took the zone out")
+		}
+		_ = json.NewEncoder(w).Encode(e.Done())
+	}))
+	defer server.Close()
+	out, _ := s.run(cli.ExitOK, "explain --vm "+server.URL+" --zone lupeni")
+	require.Contains(t, out, "gets no new work")
+	require.Contains(t, out, "cause zone_out: operators took the zone out")
+	s.run(cli.ExitRefused, "explain --vm "+server.URL+" --zone lupenl")
+	s.run(cli.ExitUsage, "explain --vm "+server.URL)
+}
--- a/cli/remote.go
+++ b/cli/remote.go
@@ -131,6 +131,10 @@
 	Coverage      struct {
 		Answered int `json:"answered"`
 		Expected int `json:"expected"`
+		Missing  []struct {
+			Shard  string `json:"shard"`
+			Reason string `json:"reason"`
+		} `json:"missing"`
 	} `json:"coverage"`
 	ElapsedMicros int64 `json:"elapsed_micros"`
 	Results       []struct {
@@ -174,6 +178,9 @@
 func (a searchAnswer) lines() []string {
 	lines := []string{fmt.Sprintf("%s: %d of %d shards, snapshot %s, config version %d, %s", a.Outcome, a.Coverage.Answered,
 		a.Coverage.Expected, a.Snapshot, a.ConfigVersion, time.Duration(a.ElapsedMicros)*time.Microsecond)}
+	for _, m := range a.Coverage.Missing {
+		lines = append(lines, fmt.Sprintf("  missing %s: %s", m.Shard, m.Reason))
+	}
 	for _, r := range a.Results {
 		lines = append(lines, fmt.Sprintf("  %s %s", r.Shard, r.Body))
 	}
