Dial a failing target at the bounded rate

Change: only connections to a warm target are replaced at once. A lost connection puts the target into cold start.

With the rule off, TestPoolServesDials fails.

Conclusion: the rate bounds connections to targets that fail or change owner, and not the replacements that cancelled requests need.

--- a/benchmarks/routing_owner.go
+++ b/benchmarks/routing_owner.go
@@ -151,8 +151,8 @@
 }
 
 // Hold keeps a connection for each slot, as a warm target has them.
-func (r pooledRunner) Hold(limit, ahead int) {
-	r.Pool.Hold(limit, max(ahead, min(limit, connectSlots)))
+func (r pooledRunner) Hold(limit, ahead int, warm bool) {
+	r.Pool.Hold(limit, max(ahead, min(limit, connectSlots)), warm)
 }
 
 // connectionRate has one VM take over many targets at once, and counts the connections of each second at the listener.
--- a/gate/connections.go
+++ b/gate/connections.go
@@ -64,9 +64,11 @@
 	// open counts connections that are open or being opened; opening counts the latter.
 	open    int
 	opening int
-	// spare counts connections that were in use and closed. Their replacements are not bound to the rate: a cancelled
-	// request closes its connection, and hedging cancels more requests than the rate allows for.
+	// spare counts connections to a warm target that were in use and closed. Their replacements are not bound to the
+	// rate: a cancelled request closes its connection, and hedging cancels more requests than the rate allows for. A
+	// target that fails and closes all its connections is cold, and is dialed at the rate.
 	spare   int
+	warm    bool
 	ready   []readyConn
 	waiting []chan dialed
 }
@@ -87,11 +89,11 @@
 }
 
 // Hold implements Connections.
-func (p *Pool) Hold(limit, ahead int) {
+func (p *Pool) Hold(limit, ahead int, warm bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.limit, p.ahead = limit, min(ahead, limit)
-	if ahead == 0 {
+	p.limit, p.ahead, p.warm = limit, min(ahead, limit), warm
+	if !warm {
 		p.spare = 0
 	}
 	if ahead == 0 && len(p.waiting) == 0 {
@@ -227,7 +229,9 @@
 		c.pool.mu.Lock()
 		defer c.pool.mu.Unlock()
 		c.pool.open--
-		c.pool.spare = min(c.pool.spare+1, c.pool.limit)
+		if c.pool.warm {
+			c.pool.spare = min(c.pool.spare+1, c.pool.limit)
+		}
 		c.pool.advance()
 	})
 	return c.Conn.Close()
--- a/gate/connections_test.go
+++ b/gate/connections_test.go
@@ -52,7 +52,7 @@
 		var pools []*Pool
 		for range 30 {
 			p := opener.NewPool("127.0.0.1:1", 4)
-			p.Hold(4, 6)
+			p.Hold(4, 6, false)
 			pools = append(pools, p)
 		}
 		synctest.Wait()
@@ -77,7 +77,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		clock, d := clockwork.NewFakeClock(), &dialer{}
 		p := NewOpener(clock, d.dial).NewPool("127.0.0.1:1", 1)
-		p.Hold(1, 1)
+		p.Hold(1, 1, true)
 		synctest.Wait()
 		first, err := p.Dial(t.Context(), "tcp", "")
 		require.NoError(t, err)
@@ -95,10 +95,22 @@
 		require.NoError(t, first.Close())
 		first, err = p.Dial(t.Context(), "tcp", "")
 		require.NoError(t, err, "a replacement does not wait for the rate")
+		p.Hold(1, 1, false)
+		for range 2 {
+			require.NoError(t, first.Close())
+			synctest.Wait()
+			require.Equal(t, 3, d.dials, "a cold target is dialed at the rate")
+			if d.open == 0 {
+				clock.Advance(time.Second)
+			}
+			first, err = p.Dial(t.Context(), "tcp", "")
+			require.NoError(t, err)
+		}
+		require.Equal(t, 4, d.dials)
 		d.fail = errors.New("refused")
 		require.NoError(t, first.Close())
 		synctest.Wait()
-		require.Equal(t, 3, d.dials, "a refused connection is not tried in a loop")
+		require.Equal(t, 5, d.dials, "a refused connection is not tried in a loop")
 		clock.Advance(time.Second)
 		_, err = p.Dial(t.Context(), "tcp", "")
 		require.ErrorIs(t, err, d.fail)
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -29,8 +29,8 @@
 // Connections is implemented by runners that hold connections. Both methods return at once.
 type Connections interface {
 	// Hold bounds the open connections to limit, and opens up to ahead of them before they are needed; with an ahead of
-	// 0, idle connections are closed.
-	Hold(limit, ahead int)
+	// 0, idle connections are closed. While the target is warm, closed connections are replaced without delay.
+	Hold(limit, ahead int, warm bool)
 	// Close closes all connections.
 	Close()
 }
@@ -225,10 +225,10 @@
 	}
 	if g.owner.stage != owned {
 		// Requests that hold a slot may still need a connection.
-		c.Hold(g.running, 0)
+		c.Hold(g.running, 0, false)
 		return
 	}
-	c.Hold(g.limits.Connections, g.limit(now))
+	c.Hold(g.limits.Connections, g.limit(now), !g.cold.cold)
 }
 
 // withdraw takes back a request whose context ended. A slot that was granted at the same moment is returned.
--- a/plugin/placement/targets.go
+++ b/plugin/placement/targets.go
@@ -38,8 +38,8 @@
 }
 
 // Hold implements gate.Connections.
-func (r *runner) Hold(limit, ahead int) {
-	r.pool.Hold(limit, ahead)
+func (r *runner) Hold(limit, ahead int, warm bool) {
+	r.pool.Hold(limit, ahead, warm)
 	if ahead == 0 {
 		r.Client.Close()
 	}
