Refuse a bundle that names one target twice

Cause: a target id in two services silently overwrote the other in the placement plan, and one address under two ids would get two gates, so twice its slots. Change: ids and addresses of targets are unique in the whole bundle. Measured: the new test names both faults; it fails without the check. Conclusion: a plan cannot hold one process twice.

--- a/bundle/bundle_test.go
+++ b/bundle/bundle_test.go
@@ -75,3 +75,15 @@
 	_, err = bundle.Verify(signed(t, sample(), by[0]), ring)
 	require.ErrorIs(t, err, bundle.ErrUnsigned)
 }
+
+// A target that stands twice in a bundle would get two gates, and so twice its slots.
+func TestTargetsAreUniqueInTheWholeBundle(t *testing.T) {
+	b := sample()
+	twin := b.Services[0]
+	twin.ID = "subventii"
+	b.Services = append(b.Services, twin)
+	require.Equal(t, []string{
+		`services.subventii.targets[0].id: "t1" is also a target of service dispecerat`,
+		`services.subventii.targets[0].address: "127.0.0.1:9000" is also the address of target t1`,
+	}, b.Validate())
+}
--- a/bundle/validate.go
+++ b/bundle/validate.go
@@ -28,7 +28,7 @@
 
 // Validate returns every fault of the bundle's content, or nil.
 func (b *Bundle) Validate() []string {
-	v := &validation{}
+	v := &validation{owners: map[ident.TargetID]ident.ServiceID{}, addresses: map[string]ident.TargetID{}}
 	v.checkHead(b)
 	v.checkZones(b)
 	v.checkPolicy(&b.Policy)
@@ -42,7 +42,13 @@
 	return v.faults
 }
 
-type validation struct{ faults []string }
+type validation struct {
+	faults []string
+	// owners and addresses hold the target ids and addresses of the whole bundle. A target that stood in it twice would
+	// get two gates, and so twice its slots.
+	owners    map[ident.TargetID]ident.ServiceID
+	addresses map[string]ident.TargetID
+}
 
 func (v *validation) check(ok bool, format string, args ...any) {
 	if !ok {
@@ -104,6 +110,7 @@
 		field := fmt.Sprintf("%s.targets[%d]", at, i)
 		v.check(t.ID != "" && !targets[t.ID], "%s.id: %q is empty or named twice", field, t.ID)
 		targets[t.ID] = true
+		v.checkUnique(field, s.ID, t)
 		v.check(b.ZoneByID(t.Zone) != nil, "%s.zone: %q is not among zones", field, t.Zone)
 		_, err := netip.ParseAddrPort(t.Address)
 		v.check(err == nil, "%s.address: %q is not an IP address and port", field, t.Address)
@@ -112,6 +119,17 @@
 	return targets
 }
 
+func (v *validation) checkUnique(field string, service ident.ServiceID, t Target) {
+	if other, taken := v.owners[t.ID]; taken && other != service {
+		v.check(false, "%s.id: %q is also a target of service %s", field, t.ID, other)
+	}
+	v.owners[t.ID] = service
+	if other, taken := v.addresses[t.Address]; taken {
+		v.check(false, "%s.address: %q is also the address of target %s", field, t.Address, other)
+	}
+	v.addresses[t.Address] = t.ID
+}
+
 func (v *validation) checkShards(at string, shards []Shard, targets map[ident.TargetID]bool) {
 	v.check(len(shards) > 0, "%s.shards: must name at least one", at)
 	seen := map[ident.ShardID]bool{}
