Let a leaving VM own its targets until peers know

Cause: a VM that announced its leave was at once unusable in its own view, so its plan gave up its targets while peers still relayed work for them and got not_owner.

Change: View.Self turns leaving at once; the VM's own entry in Members stays usable for 1 s, which is shorter than the takeover delay of the next owner.

--- a/membership/merge.go
+++ b/membership/merge.go
@@ -62,7 +62,7 @@
 	}
 	// The platform's list, seen by a peer, called this VM leaving: it agrees, so that no refutation brings work back.
 	if m.State == Leaving {
-		n.self.State = Leaving
+		n.startLeaving()
 	}
 	n.counters.refutations.Add(1)
 	n.announce(m.Sequence + 1)
@@ -91,13 +91,20 @@
 	n.enqueue(n.self)
 }
 
+func (n *Node) startLeaving() {
+	if n.self.State != Leaving {
+		n.self.State = Leaving
+		n.ownLeave = n.clock.Now().Add(ownLeaveDelay)
+	}
+}
+
 // Leave announces that this VM takes no new work; done is called with the number of peers that are told directly,
 // when each has answered or failed to.
 func (n *Node) Leave(done func(told int)) {
 	told := 0
 	n.locked(func(time.Time) {
 		if n.self.State != Leaving {
-			n.self.State = Leaving
+			n.startLeaving()
 			n.announce(n.self.Sequence + 1)
 		}
 		peers := n.pick(leaveFanout, func(r *record) bool { return r.Usable() })
--- a/membership/node.go
+++ b/membership/node.go
@@ -43,10 +43,12 @@
 	superseded atomic.Bool
 	counters   counters
 
-	mu      sync.Mutex
-	rand    *rand.Rand
-	self    Member
-	records map[ident.VMID]*record
+	mu   sync.Mutex
+	rand *rand.Rand
+	self Member
+	// ownLeave is when this leaving VM stops to count itself as usable; it is zero otherwise.
+	ownLeave time.Time
+	records  map[ident.VMID]*record
 	// sorted holds the records in order of id.
 	sorted   []*record
 	suspects map[ident.VMID]*suspicion
@@ -100,6 +102,9 @@
 		n.beat(now)
 		n.refreshDue(now)
 		n.expireSuspects(now)
+		if !n.ownLeave.IsZero() && !now.Before(n.ownLeave) {
+			n.ownLeave, n.changed = time.Time{}, true
+		}
 		if !now.Before(n.next.probe) {
 			n.next.probe = now.Add(probeInterval)
 			n.probeRound()
@@ -120,7 +125,7 @@
 
 func (n *Node) nextDue(now time.Time) time.Time {
 	next := now.Add(beatInterval)
-	for _, t := range []time.Time{n.next.probe, n.push.due, n.refresh.next} {
+	for _, t := range []time.Time{n.next.probe, n.push.due, n.refresh.next, n.ownLeave} {
 		if !t.IsZero() && t.Before(next) {
 			next = t
 		}
@@ -154,15 +159,19 @@
 	}
 	n.changed = false
 	members := make([]Member, 0, len(n.sorted)+1)
+	own := n.self
+	if !n.ownLeave.IsZero() {
+		own.State = Alive
+	}
 	at, _ := slices.BinarySearchFunc(n.sorted, n.self.ID, compareRecord)
 	for i, r := range n.sorted {
 		if i == at {
-			members = append(members, n.self)
+			members = append(members, own)
 		}
 		members = append(members, r.Member)
 	}
 	if at == len(n.sorted) {
-		members = append(members, n.self)
+		members = append(members, own)
 	}
 	fresh := &View{Self: n.self, Members: members, Generation: 1, Updated: now}
 	if old := n.published.Load(); old != nil {
--- a/membership/node_test.go
+++ b/membership/node_test.go
@@ -71,6 +71,21 @@
 	require.True(t, within(f, 30*time.Second, func() bool { return f.Knows(id, dead) }))
 }
 
+// Guards against a leaving VM that refuses work which peers relay to it before they know of the leave.
+func TestLeavingVMOwnsItsTargetsUntilPeersKnow(t *testing.T) {
+	f := fleet(t, 4)
+	e := f.VMs[0]
+	e.Leave(func(int) {})
+	require.Equal(t, leaving, e.View().Self.State)
+	f.Run(900 * time.Millisecond)
+	require.True(t, f.Knows(e.Member.ID, leaving))
+	own, _ := e.View().Lookup(e.Member.ID)
+	require.True(t, own.Usable())
+	f.Run(200 * time.Millisecond)
+	own, _ = e.View().Lookup(e.Member.ID)
+	require.False(t, own.Usable())
+}
+
 // Guards against a VM that is dropped, or flaps, because one direction between two zones is broken.
 func TestOneWayPartitionKeepsVMsAndFlagsThem(t *testing.T) {
 	f := fleet(t, 4)
--- a/membership/timing.go
+++ b/membership/timing.go
@@ -54,6 +54,9 @@
 	refreshPeers    = 3
 	staleLimit      = 3 * time.Second
 
+	// ownLeaveDelay is how long a leaving VM still counts itself as usable: until peers know of the leave, they relay
+	// work for the targets it owns. It is shorter than the takeover delay of the next owner.
+	ownLeaveDelay = time.Second
 	// leaveFanout is how many peers are told of a leave directly.
 	leaveFanout = 8
 	// joinWindow is how long after its start a process still takes a newer incarnation of its id for an earlier
--- a/membership/view.go
+++ b/membership/view.go
@@ -41,6 +41,7 @@
 
 // View is the set of VMs that one VM knows. It is immutable and sorted by id.
 type View struct {
+	// Self is this VM. When it begins to leave, its entry in Members stays usable until peers know of it.
 	Self    Member
 	Members []Member
 	// Generation counts the changes of this VM's view.
