Report owners that cannot be reached to the failure detector

Cause: searches meet a lost owner at once, but the view kept it until a probe happened to meet it. Change: the router reports it, which starts a probe; suspicion still needs that probe to fail.

--- a/plugin/relay/relay.go
+++ b/plugin/relay/relay.go
@@ -25,8 +25,10 @@
 	}})
 }
 
-func newRouter(s *settings.Settings, p relay.Planner, v membership.Viewer, l relay.Local, peers *relay.Peers, meter metric.Meter) (*relay.Router, error) {
-	return relay.NewRouter(relay.Options{Self: ident.VMID(s.VMID), Planner: p, Viewer: v, Local: l, Peers: peers, Meter: meter})
+func newRouter(s *settings.Settings, p relay.Planner, v membership.Viewer, l relay.Local,
+	peers *relay.Peers, meter metric.Meter, failures membership.FailureReporter) (*relay.Router, error) {
+	return relay.NewRouter(relay.Options{Self: ident.VMID(s.VMID), Planner: p, Viewer: v, Local: l, Peers: peers, Meter: meter,
+		Failures: failures})
 }
 
 func newHandler(s *relay.Server) peerapi.Handler {
--- a/relay/router.go
+++ b/relay/router.go
@@ -35,6 +35,8 @@
 	Local   Local
 	Peers   *Peers
 	Meter   metric.Meter
+	// Failures hears of owners that could not be reached; it may be nil.
+	Failures membership.FailureReporter
 }
 
 // Router sends each leaf request to the owner of its target: to this VM's own gates when it is the owner, else to
@@ -147,5 +149,10 @@
 		return outcome.LeafRefused(outcome.ReasonPeerUnreachable, "the owner is not in the view")
 	}
 	r.counters.relayed(ctx)
-	return r.Peers.SendLeaf(ctx, member.Address, req)
+	res := r.Peers.SendLeaf(ctx, member.Address, req)
+	if res.Reason == outcome.ReasonPeerUnreachable && r.Failures != nil {
+		// Searches meet a lost owner long before the next probe would.
+		r.Failures.ReportFailure(owner)
+	}
+	return res
 }
--- a/relay/router_test.go
+++ b/relay/router_test.go
@@ -153,3 +153,23 @@
 	require.Equal(t, outcome.LeafOK, f.Send(t.Context(), leaf).Status)
 	require.Equal(t, map[ident.VMID]int{"vm-a": 1, "vm-b": 1}, f.calls)
 }
+
+type reported []ident.VMID
+
+func (r *reported) ReportFailure(id ident.VMID) { *r = append(*r, id) }
+
+// Guards against a lost owner that stays in the view until a probe happens to meet it.
+func TestUnreachableOwnerIsReported(t *testing.T) {
+	f := newFleet(t, map[ident.VMID]outcome.LeafResult{"vm-b": denied})
+	var failures reported
+	f.Failures = &failures
+	f.own("vm-b")
+	require.Equal(t, outcome.ReasonNotOwner, f.Send(t.Context(), leaf).Reason)
+	require.Empty(t, failures, "an owner that answers is not lost")
+	gone, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, gone.Close())
+	f.view.Members[1].Address = gone.Addr().String()
+	require.Equal(t, outcome.ReasonPeerUnreachable, f.Send(t.Context(), leaf).Reason)
+	require.Equal(t, reported{"vm-b"}, failures)
+}
