Run the canary on another shard when the first refuses it

Change: a canary that provably ran nowhere is tried on up to 3 further shards; the bound on crashed targets is untouched, because a refused send reaches no target. Conclusion: a lost shard costs its own coverage only.

--- a/search/canary.go
+++ b/search/canary.go
@@ -18,32 +18,66 @@
 		r.refuseAll(answer, outcome.NotRun, reason)
 		return false
 	}
-	shard, choice, ok := r.canaryShard()
-	if !ok {
-		// No replica of any shard may receive work; scatter names the reason of each.
-		return true
+	tried := make([]bool, len(r.pin.Snapshot.Shards))
+	var (
+		canary outcome.LeafRequest
+		res    GuardResult
+	)
+	for n := range maxCanaryShards {
+		shard, choice, ok := r.canaryShard(tried)
+		if !ok && n == 0 {
+			// No replica of any shard may receive work; scatter names the reason of each.
+			return true
+		}
+		if !ok {
+			break
+		}
+		tried[shard] = true
+		canary, res = r.check(shard, choice)
+		if res.Verdict == GuardSafe {
+			if res.Leaf != nil {
+				r.takeCanary(shard, canary, choice, res)
+			}
+			return true
+		}
+		if !ranNowhere(&canary, res) || r.ctx.Err() != nil {
+			break
+		}
+		// The canary was refused, as when its shard has lost its replicas. That says nothing about the query, and the
+		// other shards still have to be covered.
 	}
+	r.refuseGuarded(answer, &canary, res)
+	return false
+}
+
+// ranNowhere reports whether no target can have run the canary.
+func ranNowhere(canary *outcome.LeafRequest, res GuardResult) bool {
+	return res.Verdict == GuardFailed && res.Leaf != nil && classify(canary, res.Leaf) == Refused
+}
+
+// maxCanaryShards is how many shards a query may try to run its canary on; each of the earlier ones provably ran
+// nothing.
+const maxCanaryShards = 4
+
+// check sends one canary through the guard and learns from its reply.
+func (r *run) check(shard int, choice replica.Choice) (outcome.LeafRequest, GuardResult) {
 	canary := r.request(r.pin.Snapshot.Shards[shard].ID, r.pin.Snapshot.ID, choice.Target.ID, outcome.SendCanary)
 	sent := r.searcher.Clock.Now()
 	res := r.searcher.Guard.Check(r.ctx, Fingerprint(r.service.ID, r.query.Body), canary, r.replicas(shard, choice))
 	if res.Leaf != nil && classify(&canary, res.Leaf) != Foreign {
 		r.searcher.Beliefs.Learn(snapshot.Reply{Target: res.Target, Incarnation: res.Leaf.Incarnation, Held: res.Leaf.Held, Sent: sent})
 	}
-	if res.Verdict != GuardSafe {
-		r.refuseGuarded(answer, &canary, res)
-		return false
-	}
-	if res.Leaf != nil {
-		r.takeCanary(shard, canary, choice, res)
-	}
-	return true
+	return canary, res
 }
 
-// canaryShard picks a shard at random, so that canaries do not always load the same one.
-func (r *run) canaryShard() (int, replica.Choice, bool) {
+// canaryShard picks a shard that was not tried at random, so that canaries do not always load the same one.
+func (r *run) canaryShard(tried []bool) (int, replica.Choice, bool) {
 	n := len(r.pin.Snapshot.Shards)
 	for k, offset := 0, rand.IntN(n); k < n; k++ {
 		i := (k + offset) % n
+		if tried[i] {
+			continue
+		}
 		choice, reason := r.searcher.Replicas.Choose(replica.Need{Service: r.service.ID, Snapshot: r.pin.Snapshot.ID,
 			Shard: &r.pin.Snapshot.Shards[i], Kind: outcome.SendCanary})
 		if reason == outcome.ReasonNone {
--- a/search/search_test.go
+++ b/search/search_test.go
@@ -356,6 +356,32 @@
 	}
 }
 
+// A shard that lost its replicas must not keep a query that is not known yet from the other shards.
+func TestCanaryMovesToAnotherShardWhenRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for range 20 {
+			w := newWorld(3)
+			w.Guard = guard(func(canary outcome.LeafRequest) search.GuardResult {
+				res, verdict := whole(canary), search.GuardSafe
+				if canary.Shard == "shard1" {
+					res, verdict = outcome.LeafRefused(outcome.ReasonDialFailed, ""), search.GuardFailed
+				}
+				return search.GuardResult{Verdict: verdict, Leaf: &res, Target: canary.Target}
+			})
+			w.reply = func(_ context.Context, r outcome.LeafRequest, _ int) outcome.LeafResult {
+				if r.Shard == "shard1" {
+					return outcome.LeafRefused(outcome.ReasonDialFailed, "")
+				}
+				return whole(r)
+			}
+			answer := w.search(0)
+			require.Equal(t, outcome.Partial, answer.Outcome)
+			require.Equal(t, 2, answer.Coverage.Answered)
+			require.Equal(t, ident.ShardID("shard1"), answer.Coverage.Missing[0].Shard)
+		}
+	})
+}
+
 // A bundle that repartitions the service during a query must not change which shards the query expects.
 func TestRepartitionDuringAQuery(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
