--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -37,6 +38,10 @@
 	peer   Peer
 	table  *table
 
+	// canaries and hedges count the canaries that were begun here, and the second sends among them.
+	canaries atomic.Int64
+	hedges   atomic.Int64
+
 	mu      sync.Mutex
 	running map[string]chan struct{}
 	told    sync.WaitGroup
@@ -135,44 +140,6 @@
 	}
 }
 
-// try sends the canary to one replica after the other until one answers or the fingerprint is quarantined.
-func (k *Keeper) try(ctx context.Context, fingerprint string, canary outcome.LeafRequest, replicas []ident.TargetID) search.GuardResult {
-	last := failed(outcome.LeafRefused(outcome.ReasonNoReplica, "no replica may receive the canary"), "")
-	for _, target := range replicas {
-		if ctx.Err() != nil {
-			return last
-		}
-		fresh, ok := k.table.charge(fingerprint, target, k.clock.Now())
-		if !ok {
-			continue
-		}
-		canary.ID, canary.Target, canary.Kind = ident.NewRequestID(), target, outcome.SendCanary
-		res := k.sender.Send(ctx, canary)
-		last = failed(res, target)
-		switch {
-		case res.Status == outcome.LeafOK:
-			k.table.passed(fingerprint)
-			last.Verdict = search.GuardSafe
-			return last
-		case isCrash(res):
-			if k.table.crashed(fingerprint, k.clock.Now()) {
-				k.tell(fingerprint)
-				last.Verdict = search.GuardQuarantined
-				return last
-			}
-		case res.Status == outcome.LeafNotRun:
-			k.release(fresh, fingerprint, target)
-		case answered(res.Reason):
-			k.release(fresh, fingerprint, target)
-			return last
-		default:
-			// No reply and no sign of a crash: the target stays charged, and only the charged ones are tried again.
-			return last
-		}
-	}
-	return last
-}
-
 // release keeps the charge of an earlier send that got no reply.
 func (k *Keeper) release(fresh bool, fingerprint string, target ident.TargetID) {
 	if fresh {
