Register metrics in one way, and add those of admission, canaries and tickets

Cause: five packages registered observable instruments by code of their own, and three components had no metrics. Conclusion: a new metric is one value in a list.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -62,6 +62,7 @@
 	mu        sync.Mutex
 	limit     float64
 	inFlight  int
+	refused   uint64
 	peak      int
 	windowEnd time.Time
 	sends     int
@@ -84,6 +85,7 @@
 	// One query is always admitted, so that the limit can recover whatever class is left.
 	if c.inFlight > 0 && float64(c.inFlight) >= c.limit*class.share() {
 		c.peak = max(c.peak, c.inFlight+1)
+		c.refused++
 		return nil, false
 	}
 	c.inFlight++
@@ -141,6 +143,13 @@
 
 func exceeds(part, whole int) bool { return float64(part) > congestedShare*float64(whole) }
 
+// InFlight returns how many admitted queries run, and how many were refused since the start.
+func (c *Controller) InFlight() (running int, refused uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.inFlight, c.refused
+}
+
 // Limit returns the current concurrency limit.
 func (c *Controller) Limit() float64 {
 	c.mu.Lock()
--- a/plugin/admission/admission.go
+++ b/plugin/admission/admission.go
@@ -2,10 +2,14 @@
 package admission
 
 import (
+	"errors"
+
+	"go.opentelemetry.io/otel/metric"
 	"go.uber.org/fx"
 
 	"teaselbank.example/teaselbank/admission"
 	"teaselbank.example/teaselbank/kernel"
+	"teaselbank.example/teaselbank/observe"
 	"teaselbank.example/teaselbank/search"
 )
 
@@ -16,6 +20,24 @@
 			fx.Invoke(func(c *admission.Controller, s *search.Searcher) {
 				s.Sender = admission.ObservedSender{Sender: s.Sender, Controller: c}
 			}),
+			fx.Invoke(register),
 		)
 	}})
 }
+
+func register(c *admission.Controller, meter metric.Meter) error {
+	return errors.Join(
+		observe.Gauges(meter,
+			observe.Value{Name: "admission_limit", Description: "queries that may run at once", Read: func() int64 { return int64(c.Limit()) }},
+			observe.Value{Name: "admission_running", Description: "admitted queries that run", Read: func() int64 {
+				running, _ := c.InFlight()
+				return int64(running)
+			}},
+		),
+		observe.Counters(meter, observe.Value{Name: "admission_refused", Description: "queries refused before their fan-out",
+			Read: func() int64 {
+				_, refused := c.InFlight()
+				return int64(refused)
+			}}),
+	)
+}
--- a/plugin/configuration/configuration.go
+++ b/plugin/configuration/configuration.go
@@ -4,7 +4,7 @@
 
 import (
 	"context"
-	"fmt"
+	"errors"
 	"net/http"
 	"sync"
 
@@ -18,6 +18,7 @@
 	"teaselbank.example/teaselbank/kernel"
 	"teaselbank.example/teaselbank/lifecycle"
 	"teaselbank.example/teaselbank/membership"
+	"teaselbank.example/teaselbank/observe"
 	"teaselbank.example/teaselbank/platformclient"
 	"teaselbank.example/teaselbank/plugin/peerapi"
 	"teaselbank.example/teaselbank/settings"
@@ -31,7 +32,7 @@
 			fx.Provide(func(d *distribution.Distributor) membership.ConfigGossip { return d }),
 			fx.Provide(fx.Annotate(func(d *distribution.Distributor) lifecycle.ReadyCheck { return d }, fx.ResultTags(lifecycle.ReadinessGroup))),
 			fx.Provide(fx.Annotate(newHandler, fx.ResultTags(peerapi.Group))),
-			fx.Invoke(run, observe),
+			fx.Invoke(run, register),
 		)
 	}})
 }
@@ -71,44 +72,27 @@
 	})
 }
 
-// observe exposes the counters of the distributor and of the store.
-func observe(meter metric.Meter, store *config.Store, d *distribution.Distributor) error {
+// register exposes the counters of the distributor and of the store.
+func register(meter metric.Meter, store *config.Store, d *distribution.Distributor) error {
 	stats := d.Stats()
-	for _, c := range []struct {
-		name string
-		load func() uint64
-	}{
-		{"config_conflicts", store.Conflicts},
-		{"config_pushes", stats.PushesSent.Load},
-		{"config_push_errors", stats.PushErrors.Load},
-		{"config_need_whole", stats.NeedWhole.Load},
-		{"config_fetches", stats.FetchesSent.Load},
-		{"config_fetch_errors", stats.FetchErrors.Load},
-		{"config_whole_bytes", stats.WholeBytes.Load},
-		{"config_delta_bytes", stats.DeltaBytes.Load},
-		{"config_platform_reads", stats.PlatformReads.Load},
-		{"config_platform_errors", stats.PlatformFails.Load},
-		{"config_refused", stats.Refused.Load},
-	} {
-		_, err := meter.Int64ObservableCounter(c.name, metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
-			o.Observe(int64(c.load()))
-			return nil
-		}))
-		if err != nil {
-			return fmt.Errorf("metric %s: %w", c.name, err)
-		}
-	}
-	_, err := meter.Int64ObservableGauge("config_conflict", metric.WithDescription("1 while two contents of the version in force are known"),
-		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
-			if store.Alarm() != nil {
-				o.Observe(1)
-				return nil
-			}
-			o.Observe(0)
-			return nil
-		}))
-	if err != nil {
-		return fmt.Errorf("metric config_conflict: %w", err)
+	counter := func(name, description string, read func() uint64) observe.Value {
+		return observe.Value{Name: name, Description: description, Read: observe.Uint64(read)}
 	}
-	return nil
+	return errors.Join(
+		observe.Counters(meter,
+			counter("config_conflicts", "offers of the version in force with another content", store.Conflicts),
+			counter("config_pushes", "bundles pushed to peers", stats.PushesSent.Load),
+			counter("config_push_errors", "pushes without a reply", stats.PushErrors.Load),
+			counter("config_need_whole", "deltas whose base the receiver did not have", stats.NeedWhole.Load),
+			counter("config_fetches", "bundles asked of peers", stats.FetchesSent.Load),
+			counter("config_fetch_errors", "fetches without a usable reply", stats.FetchErrors.Load),
+			counter("config_whole_bytes", "bytes of bundles sent whole", stats.WholeBytes.Load),
+			counter("config_delta_bytes", "bytes of bundles sent as deltas", stats.DeltaBytes.Load),
+			counter("config_platform_reads", "reads of the platform", stats.PlatformReads.Load),
+			counter("config_platform_errors", "failed reads of the platform", stats.PlatformFails.Load),
+			counter("config_refused", "offered bundles that did not verify", stats.Refused.Load),
+		),
+		observe.Gauges(meter, observe.Value{Name: "config_conflict", Description: "1 while two contents of the version in force are known",
+			Read: observe.Bool(func() bool { return store.Alarm() != nil })}),
+	)
 }
--- a/plugin/membership/membership.go
+++ b/plugin/membership/membership.go
@@ -31,7 +31,7 @@
 			fx.Provide(func(t *Table) lifecycle.Leaver { return t }),
 			fx.Provide(fx.Annotate(func(t *Table) lifecycle.ReadyCheck { return t }, fx.ResultTags(lifecycle.ReadinessGroup))),
 			fx.Provide(fx.Annotate(newHandler, fx.ResultTags(peerapi.Group))),
-			fx.Invoke(follow, logChanges, observe, fx.Annotate(joinConfig, fx.ParamTags("", `optional:"true"`))),
+			fx.Invoke(follow, logChanges, register, fx.Annotate(joinConfig, fx.ParamTags("", `optional:"true"`))),
 		)
 	}})
 }
--- a/plugin/quarantine/quarantine.go
+++ b/plugin/quarantine/quarantine.go
@@ -2,11 +2,15 @@
 package quarantine
 
 import (
+	"errors"
+
 	"github.com/jonboulle/clockwork"
+	"go.opentelemetry.io/otel/metric"
 	"go.uber.org/fx"
 
 	"teaselbank.example/teaselbank/kernel"
 	"teaselbank.example/teaselbank/membership"
+	"teaselbank.example/teaselbank/observe"
 	"teaselbank.example/teaselbank/quarantine"
 	"teaselbank.example/teaselbank/relay"
 	"teaselbank.example/teaselbank/search"
@@ -21,6 +25,7 @@
 				server.Canaries = k
 				lc.Append(fx.Hook{OnStop: k.Close})
 			}),
+			fx.Invoke(register),
 		)
 	}})
 }
@@ -28,3 +33,21 @@
 func newKeeper(clock clockwork.Clock, viewer membership.Viewer, sender search.LeafSender, peers *relay.Peers) *quarantine.Keeper {
 	return quarantine.New(clock, viewer, sender, peers)
 }
+
+func register(k *quarantine.Keeper, meter metric.Meter) error {
+	return errors.Join(
+		observe.Counters(meter,
+			observe.Value{Name: "quarantine_canaries", Description: "canaries begun as a home", Read: func() int64 {
+				begun, _ := k.Canaries()
+				return begun
+			}},
+			observe.Value{Name: "quarantine_hedged_canaries", Description: "canaries sent to a second replica because the first was slow",
+				Read: func() int64 {
+					_, hedged := k.Canaries()
+					return hedged
+				}},
+		),
+		observe.Gauges(meter, observe.Value{Name: "quarantine_suspects", Description: "fingerprints that are quarantined or without a verdict",
+			Read: func() int64 { return int64(k.Suspects()) }}),
+	)
+}
--- a/plugin/shutdown/shutdown.go
+++ b/plugin/shutdown/shutdown.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 
 	"github.com/charmbracelet/log"
 	"github.com/jonboulle/clockwork"
@@ -15,12 +14,13 @@
 	"teaselbank.example/teaselbank/config"
 	"teaselbank.example/teaselbank/kernel"
 	"teaselbank.example/teaselbank/lifecycle"
+	"teaselbank.example/teaselbank/observe"
 	"teaselbank.example/teaselbank/settings"
 )
 
 func init() {
 	kernel.Register(kernel.Plugin{Name: "shutdown", Options: func() fx.Option {
-		return fx.Invoke(observe, run)
+		return fx.Invoke(register, run)
 	}})
 }
 
@@ -66,32 +66,16 @@
 	})
 }
 
-// observe registers the metrics; docs/operations/metrics.md lists them.
-func observe(state *lifecycle.State, meter metric.Meter) error {
-	gauge := func(name, help string, read func() int64) error {
-		_, err := meter.Int64ObservableGauge("lifecycle_"+name, metric.WithDescription(help),
-			metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
-				o.Observe(read())
-				return nil
-			}))
-		return err
+// register exposes the state of the lifecycle; docs/operations/metrics.md lists the metrics.
+func register(state *lifecycle.State, meter metric.Meter) error {
+	gauge := func(name, description string, read func() int64) observe.Value {
+		return observe.Value{Name: "lifecycle_" + name, Description: description, Read: read}
 	}
-	err := errors.Join(
+	return observe.Gauges(meter,
 		gauge("caller_requests", "callers' requests that run", func() int64 { return int64(state.Accepted(lifecycle.FromCaller)) }),
 		gauge("peer_calls", "peers' calls that run", func() int64 { return int64(state.Accepted(lifecycle.FromPeer)) }),
-		gauge("refused_draining", "callers' requests refused by the drain", func() int64 { return int64(state.Refused()) }),
-		gauge("ready", "1 if the balancer should send requests here", func() int64 { return boolGauge(state.Ready()) }),
-		gauge("draining", "1 while a drain refuses new work", func() int64 { return boolGauge(state.Draining()) }),
+		gauge("refused_draining", "callers' requests refused by the drain", observe.Uint64(state.Refused)),
+		gauge("ready", "1 if the balancer should send requests here", observe.Bool(state.Ready)),
+		gauge("draining", "1 while a drain refuses new work", observe.Bool(state.Draining)),
 	)
-	if err != nil {
-		return fmt.Errorf("lifecycle metrics: %w", err)
-	}
-	return nil
-}
-
-func boolGauge(b bool) int64 {
-	if b {
-		return 1
-	}
-	return 0
 }
--- a/plugin/ticket/ticket.go
+++ b/plugin/ticket/ticket.go
@@ -3,12 +3,14 @@
 
 import (
 	"github.com/jonboulle/clockwork"
+	"go.opentelemetry.io/otel/metric"
 	"go.uber.org/fx"
 
 	"teaselbank.example/teaselbank/catalog"
 	"teaselbank.example/teaselbank/config"
 	"teaselbank.example/teaselbank/kernel"
 	"teaselbank.example/teaselbank/membership"
+	"teaselbank.example/teaselbank/observe"
 	"teaselbank.example/teaselbank/relay"
 	"teaselbank.example/teaselbank/replica"
 	"teaselbank.example/teaselbank/search"
@@ -23,6 +25,7 @@
 				server.Tickets = issuer
 				lc.Append(fx.Hook{OnStop: issuer.Close})
 			}),
+			fx.Invoke(register),
 		)
 	}})
 }
@@ -36,3 +39,16 @@
 func newRouter(issuer *ticket.Issuer, viewer membership.Viewer, peers *relay.Peers) *ticket.Router {
 	return &ticket.Router{Issuer: issuer, Viewer: viewer, Peer: peers}
 }
+
+func register(issuer *ticket.Issuer, meter metric.Meter) error {
+	return observe.Gauges(meter,
+		observe.Value{Name: "ticket_records", Description: "records in the table of outcomes", Read: func() int64 {
+			count, _ := issuer.Records()
+			return int64(count)
+		}},
+		observe.Value{Name: "ticket_record_bytes", Description: "bytes of the table of outcomes", Read: func() int64 {
+			_, bytes := issuer.Records()
+			return int64(bytes)
+		}},
+	)
+}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -194,6 +194,12 @@
 	}
 }
 
+// Canaries returns how many canaries this VM began as a home, and how many of them were hedged.
+func (k *Keeper) Canaries() (begun, hedged int64) { return k.canaries.Load(), k.hedges.Load() }
+
+// Suspects returns how many fingerprints are quarantined or without a verdict.
+func (k *Keeper) Suspects() int { return k.table.size() }
+
 // Close waits until every peer was told or given up.
 func (k *Keeper) Close(context.Context) error {
 	k.told.Wait()
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -161,3 +161,9 @@
 		t.safe.Add(fingerprint, struct{}{})
 	}
 }
+
+func (t *table) size() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.suspects)
+}
--- a/ticket/issuer.go
+++ b/ticket/issuer.go
@@ -106,6 +106,13 @@
 	return token, c, nil
 }
 
+// Records returns how many records the table of outcomes holds, and the bytes they take.
+func (i *Issuer) Records() (count, bytes int) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return len(i.table.records), i.table.bytes
+}
+
 // Issued reports whether the claims name this incarnation.
 func (i *Issuer) Issued(c Claims) bool {
 	return c.VM == i.self.ID && c.Incarnation == i.self.Incarnation.Token
