Take targets over again after a long pause

A process that was paused for longer than the suspicion time kept its gates when it woke, although its peers had replaced it as an owner.

--- a/gate/set.go
+++ b/gate/set.go
@@ -121,6 +121,26 @@
 func (s *Set) Apply(plan *placement.Plan) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.apply(plan)
+}
+
+// Reacquire gives up every target and takes it over again by the current plan, as a process does that starts. It is
+// meant for a process that was paused for so long that its peers may have replaced it as an owner without its knowing.
+func (s *Set) Reacquire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	plan, old := s.plan, *s.gates.Load()
+	if plan == nil {
+		return
+	}
+	none := map[ident.TargetID]*Gate{}
+	s.gates.Store(&none)
+	s.retire(old, none)
+	s.plan = nil
+	s.apply(plan)
+}
+
+func (s *Set) apply(plan *placement.Plan) {
 	old := *s.gates.Load()
 	c := &change{plan: plan, next: make(map[ident.TargetID]*Gate, len(old)), asks: map[ident.VMID][]*Gate{}}
 	plan.Targets(func(t *placement.Target) {
--- a/gate/set_test.go
+++ b/gate/set_test.go
@@ -339,3 +339,38 @@
 		w.finishOne()
 	})
 }
+
+// Guards against a woken VM that goes on granting slots although its peers replaced it while it was paused.
+func TestWokenOwnerTakesOverAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t.Context(), 2, 2, 1, 25)
+		w.see(0, 3, membership.Dead)
+		w.see(1, 3, membership.Dead)
+		w.advance(TakeoverDelay)
+		woken := w.sets[1].Owned()
+		w.warm(woken)
+		other := 1 - woken
+		w.see(other, 1<<other, membership.Dead)
+		w.advance(TakeoverDelay)
+		w.warm(other)
+		w.send(other)
+		w.send(other)
+		synctest.Wait()
+		require.Equal(t, 2, w.running[other])
+
+		w.sets[woken].Reacquire()
+		w.send(woken)
+		w.send(woken)
+		synctest.Wait()
+		require.Zero(t, w.running[woken], "the other owner's requests still hold the slots")
+		require.Equal(t, 2, w.peak)
+		w.finishOne()
+		w.finishOne()
+		synctest.Wait()
+		w.advance(handoverPoll)
+		require.Equal(t, 2, w.running[woken], "the other owner handed over a warm target")
+		w.finishOne()
+		w.finishOne()
+		w.work.Wait()
+	})
+}
--- a/membership/node.go
+++ b/membership/node.go
@@ -63,6 +63,8 @@
 	notifyMu  sync.Mutex
 	notified  uint64
 	listeners []func(*View)
+	// pauseListeners are fixed before the first Tick.
+	pauseListeners []func(time.Duration)
 }
 
 // views are the two forms of the current view, so that a reader that notices a pause allocates nothing.
--- a/membership/pause.go
+++ b/membership/pause.go
@@ -31,6 +31,10 @@
 	paused := n.pausedAt(now)
 	if paused {
 		n.counters.pauses.Add(1)
+		length := now.Sub(n.started) - time.Duration(n.lastBeat.Load())
+		for _, f := range n.pauseListeners {
+			f(length)
+		}
 		n.stale.Store(true)
 		n.beat(now)
 		n.epoch++
@@ -64,3 +68,10 @@
 	n.refresh = refreshState{}
 	n.stale.Store(false)
 }
+
+// ReplacedAfter is how long a process must be paused before its peers may have declared it dead.
+const ReplacedAfter = suspicionTime
+
+// OnPause registers a function that is called with the length of each pause, while the view is stale and before it can
+// be refreshed. It must be registered before the first Tick and must not call the node.
+func (n *Node) OnPause(f func(length time.Duration)) { n.pauseListeners = append(n.pauseListeners, f) }
--- a/membership/restart_test.go
+++ b/membership/restart_test.go
@@ -19,6 +19,11 @@
 	e := f.VMs[2]
 	lost := watchUnusable(f, func(viewer, _ membership.Member) bool { return viewer.ID == e.Member.ID })
 	require.False(t, e.View().Stale)
+	var pauses []time.Duration
+	e.OnPause(func(length time.Duration) {
+		require.True(t, e.View().Stale, "listeners act before work may be sent again")
+		pauses = append(pauses, length)
+	})
 	e.Pause()
 	f.Run(5 * time.Second)
 	e.Wake()
@@ -27,6 +32,8 @@
 	require.True(t, within(f, 30*time.Second, f.Settled))
 	require.Zero(t, *lost, "calls that the pause cut short are no evidence against peers")
 	require.Equal(t, uint64(1), e.Stats().Pauses)
+	require.Len(t, pauses, 1)
+	require.GreaterOrEqual(t, pauses[0], 4*time.Second)
 }
 
 // Guards against a view that stays stale for ever when no peer can be reached.
--- a/plugin/placement/placement.go
+++ b/plugin/placement/placement.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/jonboulle/clockwork"
@@ -39,6 +40,7 @@
 			fx.Invoke(func(k *Keeper, store *config.Store, table *viewplugin.Table) {
 				store.OnChange(k.follow)
 				table.OnChange(func(*membership.View) { k.rebuild() })
+				table.OnPause(k.woke)
 			}),
 		)
 	}})
@@ -84,6 +86,15 @@
 	k.rebuild()
 }
 
+// woke takes this VM's targets over again after a pause in which other VMs may have become their owners.
+func (k *Keeper) woke(paused time.Duration) {
+	if paused < membership.ReplacedAfter {
+		return
+	}
+	k.logger.Warn("reacquire", "paused", paused)
+	k.gates.Reacquire()
+}
+
 func (k *Keeper) rebuild() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
