Measure searches that no VM has seen before

Cause: the figures of the tail left out the canary that an unknown query waits for. Change: a benchmark in which every query is unknown; its extra load counts all sends, hedged canaries included.

--- a/benchmarks/searchbench/fleet.go
+++ b/benchmarks/searchbench/fleet.go
@@ -58,6 +58,9 @@
 	// instant targets answer without delay, for measurements of cost.
 	instant bool
 	sends   atomic.Int64
+	// unknown makes every query one that no VM has seen, so that each runs a canary first.
+	unknown bool
+	queries atomic.Int64
 }
 
 // loss says how a lost target shows.
@@ -193,10 +196,17 @@
 	start := time.Now()
 	ctx, cancel := context.WithTimeout(context.Background(), fleetDeadline)
 	defer cancel()
-	answer := f.searcher.Search(ctx, search.Query{Service: fleetService, Body: []byte(`{"bunker":12}`)})
+	answer := f.searcher.Search(ctx, search.Query{Service: fleetService, Body: f.query()})
 	return answer, time.Since(start) + 2*callerDelay
 }
 
+func (f *fleet) query() []byte {
+	if !f.unknown {
+		return []byte(`{"bunker":12}`)
+	}
+	return fmt.Appendf(nil, `{"bunker":%d}`, f.queries.Add(1))
+}
+
 // load is what a series of searches at a steady rate met.
 type load struct {
 	latencies []time.Duration
