Run both stand-ins by one server, and end waiting watches when the platform fails

Cause: the two programs had the same 20 lines of server code, and a platform that went down still answered watches that were waiting. Change: package standin/serve; SetDown wakes the watches, which then fail. Conclusion: an outage now also cuts the watches off, as it does at a real platform.

--- a/standin/cmd/standin-platform/main.go
+++ b/standin/cmd/standin-platform/main.go
@@ -2,18 +2,15 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"net"
-	"net/http"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/jessevdk/go-flags"
 
 	"teaselbank.example/teaselbank/standin/platform"
+	"teaselbank.example/teaselbank/standin/serve"
 )
 
 type options struct {
@@ -21,8 +18,6 @@
 	Lag    time.Duration `long:"lag" default:"5s" description:"delay of the list of VMs"`
 }
 
-const headerTimeout = 5 * time.Second
-
 func main() {
 	var o options
 	if _, err := flags.Parse(&o); err != nil {
@@ -39,15 +34,7 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: platform.New(o.Lag).Handler(), ReadHeaderTimeout: headerTimeout}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	go func() {
-		<-ctx.Done()
-		_ = server.Close()
-	}()
-	if err := server.Serve(l); err != http.ErrServerClosed {
-		return err
-	}
-	return nil
+	p := platform.New(o.Lag)
+	// Waiting watches end at once, so that a stop does not wait for them.
+	return serve.UntilSignal(l, p.Handler(), func() { p.SetDown(true) })
 }
--- a/standin/cmd/standin-target/main.go
+++ b/standin/cmd/standin-target/main.go
@@ -2,18 +2,15 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"net"
-	"net/http"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/jessevdk/go-flags"
 	"golang.org/x/net/netutil"
 
+	"teaselbank.example/teaselbank/standin/serve"
 	"teaselbank.example/teaselbank/standin/target"
 )
 
@@ -33,8 +30,6 @@
 	HealthLag       time.Duration `long:"health-lag" default:"10s" description:"delay of the health endpoint"`
 }
 
-const drainTimeout = 5 * time.Second
-
 func main() {
 	var o options
 	if _, err := flags.Parse(&o); err != nil {
@@ -54,18 +49,5 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: t.Handler(), ReadHeaderTimeout: drainTimeout}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	go func() {
-		<-ctx.Done()
-		t.SetDraining(true)
-		ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
-		defer cancel()
-		_ = server.Shutdown(ctx)
-	}()
-	if err := server.Serve(netutil.LimitListener(l, o.Connections)); err != http.ErrServerClosed {
-		return err
-	}
-	return nil
+	return serve.UntilSignal(netutil.LimitListener(l, o.Connections), t.Handler(), func() { t.SetDraining(true) })
 }
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -75,6 +75,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.down = down
+	// A platform that fails answers no waiting watch either.
+	close(p.changed)
+	p.changed = make(chan struct{})
 }
 
 // Calls returns the counters.
