Run canaries in the entry VM's zone where a shard has a replica there

Canaries went to a random shard, of which one in three had no replica in the zone, so they paid a round trip between zones before the fan-out began. Change: a shard with a near replica is taken first. The new test fails with the former choice.

--- a/replica/tracker.go
+++ b/replica/tracker.go
@@ -225,3 +225,6 @@
 		return true
 	})
 }
+
+// Near reports whether the target stands in this VM's zone.
+func (t *Tracker) Near(target *catalog.Target) bool { return target.Zone == t.zone }
--- a/search/canary.go
+++ b/search/canary.go
@@ -70,9 +70,12 @@
 	return canary, res
 }
 
-// canaryShard picks a shard that was not tried at random, so that canaries do not always load the same one.
+// canaryShard picks a shard that was not tried at random, so that canaries do not always load the same one. A shard
+// with a replica in this zone goes first: the whole fan-out waits for the canary, and a hop between zones costs it
+// twice the link's delay.
 func (r *run) canaryShard(tried []bool) (int, replica.Choice, bool) {
 	n := len(r.pin.Snapshot.Shards)
+	far, farChoice, found := 0, replica.Choice{}, false
 	for k, offset := 0, rand.IntN(n); k < n; k++ {
 		i := (k + offset) % n
 		if tried[i] {
@@ -80,11 +83,15 @@
 		}
 		choice, reason := r.searcher.Replicas.Choose(replica.Need{Service: r.service.ID, Snapshot: r.pin.Snapshot.ID,
 			Shard: &r.pin.Snapshot.Shards[i], Kind: outcome.SendCanary})
-		if reason == outcome.ReasonNone {
+		switch {
+		case reason != outcome.ReasonNone:
+		case r.searcher.Replicas.Near(choice.Target):
 			return i, choice, true
+		case !found:
+			far, farChoice, found = i, choice, true
 		}
 	}
-	return 0, replica.Choice{}, false
+	return far, farChoice, found
 }
 
 // replicas lists the replicas that may run the canary, the chosen one first.
--- a/search/search_test.go
+++ b/search/search_test.go
@@ -382,6 +382,28 @@
 	})
 }
 
+// A canary in another zone would add a hop between zones to the whole search, although a shard has a replica here.
+func TestCanaryStaysInTheZone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(3)
+		w.publish(3, func(b *bundle.Bundle) {
+			for i := range b.Services[0].Targets {
+				b.Services[0].Targets[i].Zone = "lupeni"
+			}
+			b.Services[0].Targets[2].Zone = "petrosani"
+		})
+		for range 20 {
+			w.Guard = guard(func(canary outcome.LeafRequest) search.GuardResult {
+				require.Equal(t, ident.ShardID("shard1"), canary.Shard)
+				require.Equal(t, ident.TargetID("t1-0"), canary.Target)
+				res := whole(canary)
+				return search.GuardResult{Verdict: search.GuardSafe, Leaf: &res, Target: canary.Target}
+			})
+			require.Equal(t, outcome.Complete, w.search(1).Outcome)
+		}
+	})
+}
+
 // A bundle that repartitions the service during a query must not change which shards the query expects.
 func TestRepartitionDuringAQuery(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
