Check the name of a bundle like its author

Cause: a constant of 1 with an unclear name stood for 'not empty'. Change: the check reads like the two beside it. Measured: the tests of bundle, config and cli pass. Conclusion: none.

--- a/bundle/validate.go
+++ b/bundle/validate.go
@@ -11,13 +11,12 @@
 
 // Bounds of bundle fields.
 const (
-	maxSlots              = 1024
-	maxConnections        = 100_000
-	maxReturnSeconds      = 3600
-	maxExtraLoadPercent   = 50
-	maxDeadlineMillis     = 60_000
-	maxConnectMillis      = 10_000
-	minDistinctNameLength = 1
+	maxSlots            = 1024
+	maxConnections      = 100_000
+	maxReturnSeconds    = 3600
+	maxExtraLoadPercent = 50
+	maxDeadlineMillis   = 60_000
+	maxConnectMillis    = 10_000
 )
 
 // InvalidError lists every fault of a bundle's content.
@@ -62,7 +61,7 @@
 
 func (v *validation) checkHead(b *Bundle) {
 	v.check(b.Version > 0, "version: must be at least 1")
-	v.check(len(b.Name) >= minDistinctNameLength, "name: must not be empty")
+	v.check(b.Name != "", "name: must not be empty")
 	v.check(b.Author != "", "author: must not be empty")
 	v.check(b.Reviewer != "", "reviewer: must not be empty")
 	v.check(b.Author != b.Reviewer || b.Author == "", "reviewer: must not be the author %q", b.Author)
