--- /dev/null
+++ b/benchmarks/bench/bench.go
@@ -0,0 +1,83 @@
+// Package bench is the harness of the benchmarks: each registers itself, prints one BENCH line a figure and fails if a
+// bound is missed.
+package bench
+
+import (
+	"fmt"
+	"regexp"
+	"slices"
+	"strings"
+)
+
+// Result is one measured figure.
+type Result struct {
+	Name  string
+	Value float64
+	Unit  string
+	// Bound is the stated target; Less says whether smaller is better.
+	Bound float64
+	Less  bool
+	// Informative figures have no bound.
+	Informative bool
+}
+
+// Pass reports whether the figure keeps its bound.
+func (r Result) Pass() bool {
+	switch {
+	case r.Informative:
+		return true
+	case r.Less:
+		return r.Value <= r.Bound
+	default:
+		return r.Value >= r.Bound
+	}
+}
+
+// String returns the BENCH line.
+func (r Result) String() string {
+	bound, verdict := "none", "none"
+	if !r.Informative {
+		sign := ">="
+		if r.Less {
+			sign = "<="
+		}
+		bound, verdict = fmt.Sprintf("%s%g", sign, r.Bound), "fail"
+		if r.Pass() {
+			verdict = "pass"
+		}
+	}
+	return fmt.Sprintf("BENCH name=%s value=%.4g unit=%s bound=%s verdict=%s", r.Name, r.Value, r.Unit, bound, verdict)
+}
+
+type benchmark struct {
+	name string
+	run  func() ([]Result, error)
+}
+
+var benchmarks []benchmark
+
+// Register adds a benchmark; it is called from init functions.
+func Register(name string, run func() ([]Result, error)) {
+	benchmarks = append(benchmarks, benchmark{name, run})
+}
+
+// RunAll runs the benchmarks whose names match, and reports whether every bound was kept.
+func RunAll(only *regexp.Regexp) bool {
+	slices.SortFunc(benchmarks, func(a, b benchmark) int { return strings.Compare(a.name, b.name) })
+	ok := true
+	for _, b := range benchmarks {
+		if !only.MatchString(b.name) {
+			continue
+		}
+		results, err := b.run()
+		if err != nil {
+			fmt.Printf("BENCH name=%s error=%q verdict=fail\n", b.name, err)
+			ok = false
+		}
+		for _, r := range results {
+			fmt.Println(r)
+			ok = ok && r.Pass()
+		}
+	}
+	return ok
+}
--- /dev/null
+++ b/benchmarks/configbench/doc.go
@@ -0,0 +1,2 @@
+// Package configbench measures the spreading of bundles.
+package configbench
--- a/benchmarks/decisionlog.go
+++ b/benchmarks/decisionbench/decisionlog.go
@@ -1,10 +1,11 @@
-package main
+package decisionbench
 
 import (
 	"time"
 
 	"github.com/charmbracelet/log"
 
+	"teaselbank.example/teaselbank/benchmarks/bench"
 	"teaselbank.example/teaselbank/decisionlog"
 )
 
@@ -14,15 +15,15 @@
 // maxDecisionRatio bounds the cost of a queued record over a line formatted on the request path.
 const maxDecisionRatio = 0.25
 
-func init() { register("decision_log", decisionLogCost) }
+func init() { bench.Register("decision_log", decisionLogCost) }
 
 // decisionLogCost compares queueing a record with formatting its line on the spot.
-func decisionLogCost() ([]Result, error) {
+func decisionLogCost() ([]bench.Result, error) {
 	logger := log.NewWithOptions(countingWriter{}, log.Options{Formatter: log.LogfmtFormatter})
 	queue := decisionlog.New(logger, decisionRecords)
 	queued := perRecord(func(i int) { queue.Add("search", "request", i, "service", "dispecerat", "answered", 52) })
 	inline := perRecord(func(i int) { logger.Info("search", "request", i, "service", "dispecerat", "answered", 52) })
-	return []Result{
+	return []bench.Result{
 		{Name: "decision_record_cost", Value: float64(queued.Nanoseconds()), Unit: "ns", Informative: true},
 		{Name: "decision_record_over_inline_line", Value: float64(queued) / float64(inline), Unit: "ratio", Bound: maxDecisionRatio, Less: true},
 	}, nil
--- /dev/null
+++ b/benchmarks/decisionbench/doc.go
@@ -0,0 +1,2 @@
+// Package decisionbench measures the decision log.
+package decisionbench
--- /dev/null
+++ b/benchmarks/fleetbench/doc.go
@@ -0,0 +1,2 @@
+// Package fleetbench measures whole processes under restarts, failures and zone changes.
+package fleetbench
--- a/benchmarks/routing_cold.go
+++ b/benchmarks/routingbench/cold.go
@@ -1,4 +1,4 @@
-package main
+package routingbench
 
 import (
 	"context"
@@ -11,6 +11,7 @@
 	"github.com/jonboulle/clockwork"
 	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
 
+	"teaselbank.example/teaselbank/benchmarks/bench"
 	"teaselbank.example/teaselbank/bundle"
 	"teaselbank.example/teaselbank/gate"
 	"teaselbank.example/teaselbank/ident"
@@ -22,22 +23,22 @@
 
 // Sizes of the cold-start run: today's 8 entry VMs of an organisation, and twice the slots of demand from each.
 const (
-	coldVMs         = 8
-	coldSenders     = 12
-	coldSlots       = 1
-	coldTargetSlots = 6
-	coldRequests    = 400
-	coldRestarts    = 4
-	serviceTime     = time.Millisecond
-	coldSlowdown    = 5
-	sendDeadline    = 200 * time.Millisecond
-	coldSettle      = 400 * time.Millisecond
-	restartTime     = 20 * time.Millisecond
+	coldVMs      = 8
+	coldSenders  = 12
+	coldSlots    = 1
+	targetSlots  = 6
+	coldRequests = 400
+	coldRestarts = 4
+	serviceTime  = time.Millisecond
+	coldSlowdown = 5
+	sendDeadline = 200 * time.Millisecond
+	coldSettle   = 400 * time.Millisecond
+	restartTime  = 20 * time.Millisecond
 	// firstContact is the time in which a target that is warm after coldRequests has surely become warm for the owner.
 	firstContact = 6 * time.Second
 )
 
-func init() { register("routing_cold", coldLoad) }
+func init() { bench.Register("routing_cold", coldLoad) }
 
 // coldTarget is a target that is slow while cold, bears coldSlots requests until coldRequests have finished, and loses
 // what runs when it restarts.
@@ -99,7 +100,7 @@
 		t.worstCold = max(t.worstCold, float64(t.running)/coldSlots)
 		return t.incarnation, t.lost, coldSlowdown * serviceTime
 	}
-	t.worstWarm = max(t.worstWarm, float64(t.running)/coldTargetSlots)
+	t.worstWarm = max(t.worstWarm, float64(t.running)/targetSlots)
 	return t.incarnation, t.lost, serviceTime
 }
 
@@ -246,12 +247,12 @@
 }
 
 func oneTarget() *bundle.Bundle {
-	return &bundle.Bundle{Version: 1, Services: []bundle.Service{{ID: "s", Slots: coldTargetSlots, ColdSlots: coldSlots, Connections: 50,
+	return &bundle.Bundle{Version: 1, Services: []bundle.Service{{ID: "s", Slots: targetSlots, ColdSlots: coldSlots, Connections: 50,
 		Targets: []bundle.Target{{ID: "t1", Zone: "z", Address: "127.0.0.1:1", State: bundle.TargetServing}}}}}
 }
 
 // coldLoad restarts a target under load from all nodes and measures its load over what it bears.
-func coldLoad() ([]Result, error) {
+func coldLoad() ([]bench.Result, error) {
 	target, net := newColdTarget(), &network{nodes: map[string]*node{}}
 	nodes := make([]*node, coldVMs)
 	for i := range nodes {
@@ -287,7 +288,7 @@
 	for _, n := range nodes {
 		n.set.Close()
 	}
-	return []Result{
+	return []bench.Result{
 		{Name: "routing_cold_load_first_contact", Value: first, Unit: "ratio", Bound: 1, Less: true},
 		{Name: "routing_cold_load_after_restart", Value: restarted, Unit: "ratio", Bound: 1, Less: true},
 		// What was admitted before the first reply that shows the change cannot be taken back.
--- /dev/null
+++ b/benchmarks/routingbench/doc.go
@@ -0,0 +1,2 @@
+// Package routingbench measures placement, gates and the relay.
+package routingbench
--- a/benchmarks/routing_plan.go
+++ b/benchmarks/routingbench/plan.go
@@ -1,10 +1,11 @@
-package main
+package routingbench
 
 import (
 	"fmt"
 	"math"
 	"time"
 
+	"teaselbank.example/teaselbank/benchmarks/bench"
 	"teaselbank.example/teaselbank/bundle"
 	"teaselbank.example/teaselbank/ident"
 	"teaselbank.example/teaselbank/membership"
@@ -29,7 +30,7 @@
 // planRounds is how many rebuilds are timed at each size; the least counts, because other load only adds time.
 const planRounds = 15
 
-func init() { register("routing_plan", planCost) }
+func init() { bench.Register("routing_plan", planCost) }
 
 // routingFleet spreads VMs and targets evenly over the zones of the design size.
 func routingFleet(vms, targets int, service bundle.Service) (*membership.View, *bundle.Bundle) {
@@ -51,9 +52,9 @@
 func routingZone(i int) ident.Zone { return ident.Zone(fmt.Sprintf("zone-%d", i%designZones)) }
 
 // planCost times rebuilds at growing fleets, and measures balance and moves at the design size.
-func planCost() ([]Result, error) {
+func planCost() ([]bench.Result, error) {
 	service := bundle.Service{ID: "s", Slots: 6, ColdSlots: 1, Connections: 50}
-	var results []Result
+	var results []bench.Result
 	for _, vms := range []int{82, 164, 328, designVMs} {
 		view, b := routingFleet(vms, designTargets, service)
 		least := time.Duration(math.MaxInt64)
@@ -62,14 +63,14 @@
 			placement.NewPlan(view, b)
 			least = min(least, time.Since(start))
 		}
-		results = append(results, Result{Name: fmt.Sprintf("routing_plan_rebuild_%d_vms", vms),
+		results = append(results, bench.Result{Name: fmt.Sprintf("routing_plan_rebuild_%d_vms", vms),
 			Value: float64(least.Microseconds()) / 1000, Unit: "ms", Bound: maxRebuildMillis, Less: true})
 	}
 	view, b := routingFleet(designVMs, designTargets, service)
 	return append(results, planBalance(view, b)...), nil
 }
 
-func planBalance(view *membership.View, b *bundle.Bundle) []Result {
+func planBalance(view *membership.View, b *bundle.Bundle) []bench.Result {
 	plan := placement.NewPlan(view, b)
 	loads, zoneVMs, zoneTargets := map[ident.VMID]int{}, map[ident.Zone]int{}, map[ident.Zone]int{}
 	for _, m := range view.Members {
@@ -91,7 +92,7 @@
 		most, sum = max(most, moved), sum+moved
 	}
 	share := float64(designTargets) / float64(len(view.Members)) / designTargets
-	return []Result{
+	return []bench.Result{
 		{Name: "routing_owner_load_over_bound", Value: worst, Unit: "ratio", Bound: 1, Less: true},
 		{Name: "routing_moved_share_one_vm_leaves", Value: float64(sum) / float64(len(view.Members)) / designTargets,
 			Unit: "share", Bound: maxMovedFactor * share, Less: true},
--- a/benchmarks/search_cost.go
+++ b/benchmarks/searchbench/cost.go
@@ -1,4 +1,4 @@
-package main
+package searchbench
 
 import (
 	"context"
@@ -9,6 +9,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"teaselbank.example/teaselbank/benchmarks/bench"
 	"teaselbank.example/teaselbank/decisionlog"
 )
 
@@ -20,8 +21,8 @@
 const maxCostGrowth = 1.5
 
 func init() {
-	register("search_cost", searchCost)
-	register("search_decision_line", searchDecisionLine)
+	bench.Register("search_cost", searchCost)
+	bench.Register("search_decision_line", searchDecisionLine)
 }
 
 // Rounds of the cost measurement. The fan-outs take turns and the cheapest round counts, so that other work on the
@@ -40,7 +41,7 @@
 
 // searchCost measures the processor time and the allocations of a search whose leaves answer at once, on one
 // processor. The processor time is that of the process, so it includes the collection of garbage but no waiting.
-func searchCost() ([]Result, error) {
+func searchCost() ([]bench.Result, error) {
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	fleets, costs := make([]*fleet, len(costShards)), make([]cost, len(costShards))
 	for i, shards := range costShards {
@@ -58,18 +59,18 @@
 			}
 		}
 	}
-	var results []Result
+	var results []bench.Result
 	perLeaf := make([]float64, len(costShards))
 	for i, shards := range costShards {
 		c := costs[i]
 		perLeaf[i] = float64(c.processor) / float64(shards)
 		results = append(results,
-			Result{Name: fmt.Sprintf("search_cost_%d_leaves", shards), Value: float64(c.processor.Nanoseconds()) / 1000, Unit: "us", Informative: true},
-			Result{Name: fmt.Sprintf("search_allocs_%d_leaves", shards), Value: c.allocs, Unit: "allocs", Informative: true},
-			Result{Name: fmt.Sprintf("search_bytes_%d_leaves", shards), Value: c.bytes, Unit: "B", Informative: true})
+			bench.Result{Name: fmt.Sprintf("search_cost_%d_leaves", shards), Value: float64(c.processor.Nanoseconds()) / 1000, Unit: "us", Informative: true},
+			bench.Result{Name: fmt.Sprintf("search_allocs_%d_leaves", shards), Value: c.allocs, Unit: "allocs", Informative: true},
+			bench.Result{Name: fmt.Sprintf("search_bytes_%d_leaves", shards), Value: c.bytes, Unit: "B", Informative: true})
 	}
 	growth := perLeaf[len(perLeaf)-1] / perLeaf[0]
-	return append(results, Result{Name: "search_cost_per_leaf_104_over_13", Value: growth, Unit: "ratio", Bound: maxCostGrowth, Less: true}), nil
+	return append(results, bench.Result{Name: "search_cost_per_leaf_104_over_13", Value: growth, Unit: "ratio", Bound: maxCostGrowth, Less: true}), nil
 }
 
 // cost runs one round.
@@ -115,7 +116,7 @@
 const lineSearches = 200
 
 // searchDecisionLine measures the length of the one decision line of a 52-leaf search.
-func searchDecisionLine() ([]Result, error) {
+func searchDecisionLine() ([]bench.Result, error) {
 	f := newFleet(fleetShards, extraPercent, 0)
 	f.instant = true
 	var out countedLines
@@ -130,5 +131,5 @@
 	if out.lines != lineSearches {
 		return nil, fmt.Errorf("%d lines written, want %d", out.lines, lineSearches)
 	}
-	return []Result{{Name: "search_decision_line", Value: float64(out.bytes) / float64(out.lines), Unit: "B", Informative: true}}, nil
+	return []bench.Result{{Name: "search_decision_line", Value: float64(out.bytes) / float64(out.lines), Unit: "B", Informative: true}}, nil
 }
--- /dev/null
+++ b/benchmarks/searchbench/doc.go
@@ -0,0 +1,2 @@
+// Package searchbench measures searches over simulated leafs.
+package searchbench
--- a/benchmarks/search_fleet.go
+++ b/benchmarks/searchbench/fleet.go
@@ -1,4 +1,4 @@
-package main
+package searchbench
 
 import (
 	"context"
--- a/benchmarks/search_tail.go
+++ b/benchmarks/searchbench/tail.go
@@ -1,6 +1,10 @@
-package main
+package searchbench
 
-import "fmt"
+import (
+	"fmt"
+
+	"teaselbank.example/teaselbank/benchmarks/bench"
+)
 
 // Targets of searches, from the design page.
 const (
@@ -21,15 +25,15 @@
 )
 
 func init() {
-	register("search_tail", searchTail)
-	register("search_slow", searchSlow)
-	register("search_replicas_lost", searchReplicasLost)
+	bench.Register("search_tail", searchTail)
+	bench.Register("search_slow", searchSlow)
+	bench.Register("search_replicas_lost", searchReplicasLost)
 }
 
 // searchTail measures a 52-leaf search at 150 searches/s: median service time 3 ms, 1% stragglers of 20 times the
 // median, two replicas a shard in two of three zones, two slots a target, 4 ms one way between zones and 3 ms one way
 // to the caller. The baseline is the same run with an extra load of 0%, that is without hedges.
-func searchTail() ([]Result, error) {
+func searchTail() ([]bench.Result, error) {
 	plain := newFleet(fleetShards, 0, 0.01)
 	plain.run(warmSearches, searchRate)
 	base := plain.run(tailSearches, searchRate)
@@ -37,7 +41,7 @@
 	hedged.run(warmSearches, searchRate)
 	got := hedged.run(tailSearches, searchRate)
 	p99, basep99 := got.quantile(0.99), base.quantile(0.99)
-	return []Result{
+	return []bench.Result{
 		{Name: "search_p99", Value: p99.Seconds() * 1000, Unit: "ms", Bound: maxSearchP99Millis, Less: true},
 		{Name: "search_p50", Value: got.quantile(0.5).Seconds() * 1000, Unit: "ms", Informative: true},
 		{Name: "search_p99_without_hedges", Value: basep99.Seconds() * 1000, Unit: "ms", Informative: true},
@@ -49,12 +53,12 @@
 }
 
 // searchSlow makes every leaf ten times as slow after a calm second, at a rate that the slots still bear.
-func searchSlow() ([]Result, error) {
+func searchSlow() ([]bench.Result, error) {
 	f := newFleet(fleetShards, extraPercent, 0.01)
 	f.run(warmSearches, searchRate)
 	f.slowdown.Store(10)
 	slow := f.run(caseSearches/3, searchRate/3)
-	return []Result{
+	return []bench.Result{
 		{Name: "search_extra_load_slow", Value: f.extraShare(), Unit: "ratio", Bound: maxExtraShare, Less: true},
 		{Name: "search_coverage_slow", Value: slow.coverage(), Unit: "ratio", Informative: true},
 	}, nil
@@ -62,8 +66,8 @@
 
 // searchReplicasLost loses one replica of every shard at once, in each way a loss can show, after three calm seconds in
 // which the budget fills. Every search from then on counts, also those that meet the loss first.
-func searchReplicasLost() ([]Result, error) {
-	var results []Result
+func searchReplicasLost() ([]bench.Result, error) {
+	var results []bench.Result
 	for _, how := range []loss{lossRefused, lossReset, lossBlackHole} {
 		f := newFleet(fleetShards, extraPercent, 0.01)
 		f.run(caseSearches, searchRate)
@@ -73,9 +77,9 @@
 		got := f.run(caseSearches, searchRate)
 		name := "search_%s_replicas_" + string(how)
 		results = append(results,
-			Result{Name: fmt.Sprintf(name, "coverage"), Value: got.coverage(), Unit: "ratio", Bound: minLostCoverage},
-			Result{Name: fmt.Sprintf(name, "p99"), Value: got.quantile(0.99).Seconds() * 1000, Unit: "ms", Informative: true},
-			Result{Name: fmt.Sprintf(name, "extra_load"), Value: f.extraShare(), Unit: "ratio", Bound: maxExtraShare, Less: true})
+			bench.Result{Name: fmt.Sprintf(name, "coverage"), Value: got.coverage(), Unit: "ratio", Bound: minLostCoverage},
+			bench.Result{Name: fmt.Sprintf(name, "p99"), Value: got.quantile(0.99).Seconds() * 1000, Unit: "ms", Informative: true},
+			bench.Result{Name: fmt.Sprintf(name, "extra_load"), Value: f.extraShare(), Unit: "ratio", Bound: maxExtraShare, Less: true})
 	}
 	return results, nil
 }
