--- a/standin/cmd/standin-target/main.go
+++ b/standin/cmd/standin-target/main.go
@@ -29,6 +29,7 @@
 	ServiceTime     time.Duration `long:"service-time" default:"2ms" description:"time of one request"`
 	StragglerShare  float64       `long:"straggler-share" default:"0" description:"share of slow requests, from 0 to 1"`
 	StragglerFactor float64       `long:"straggler-factor" default:"20" description:"how many times longer they take"`
+	CrashOn         string        `long:"crash-on" description:"a query that contains this text crashes the target"`
 	HealthLag       time.Duration `long:"health-lag" default:"10s" description:"delay of the health endpoint"`
 }
 
@@ -48,7 +49,7 @@
 func run(o options) error {
 	t := target.New(target.Options{ID: o.ID, Snapshots: o.Snapshots, Slots: o.Slots, ColdSlots: o.ColdSlots,
 		ColdRequests: o.ColdRequests, ColdFailure: o.ColdFailure, ServiceTime: o.ServiceTime,
-		StragglerShare: o.StragglerShare, StragglerFactor: o.StragglerFactor, HealthLag: o.HealthLag})
+		StragglerShare: o.StragglerShare, StragglerFactor: o.StragglerFactor, HealthLag: o.HealthLag, CrashOn: o.CrashOn})
 	l, err := net.Listen("tcp", o.Listen)
 	if err != nil {
 		return err
--- /dev/null
+++ b/standin/fleet/stats.go
@@ -0,0 +1,54 @@
+package fleet
+
+import (
+	"context"
+
+	"teaselbank.example/teaselbank/ident"
+	"teaselbank.example/teaselbank/standin/target"
+)
+
+// Stats returns the counters of every running target that the filter accepts.
+func (f *Fleet) Stats(ctx context.Context, accept func(*Target) bool) ([]target.Stats, error) {
+	var all []target.Stats
+	for _, t := range f.Targets {
+		if !t.Process.Running() || !accept(t) {
+			continue
+		}
+		var s target.Stats
+		if _, err := Get(ctx, "http://"+t.Address+"/admin/stats", &s); err != nil {
+			return nil, err
+		}
+		all = append(all, s)
+	}
+	return all, nil
+}
+
+// Everywhere accepts every target.
+func Everywhere(*Target) bool { return true }
+
+// In accepts the targets of one availability zone.
+func In(zone ident.Zone) func(*Target) bool {
+	return func(t *Target) bool { return t.Zone == zone }
+}
+
+// StartedIn returns how many requests the targets of a zone have begun to run.
+func (f *Fleet) StartedIn(ctx context.Context, zone ident.Zone) (int, error) {
+	all, err := f.Stats(ctx, In(zone))
+	total := 0
+	for _, s := range all {
+		total += s.Started
+	}
+	return total, err
+}
+
+// NonIdempotentRuns returns how many non-idempotent requests the running targets have begun to run.
+func (f *Fleet) NonIdempotentRuns(ctx context.Context) (int, error) {
+	all, err := f.Stats(ctx, Everywhere)
+	total := 0
+	for _, s := range all {
+		for _, n := range s.NonIdempotent {
+			total += n
+		}
+	}
+	return total, err
+}
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -3,9 +3,11 @@
 package target
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -31,6 +33,9 @@
 	ServiceTime     time.Duration
 	StragglerShare  float64
 	StragglerFactor float64
+	// CrashOn is a text; a query that contains it crashes the target: every connection breaks, and a new incarnation
+	// starts at once. Empty for none.
+	CrashOn string
 	// HealthLag delays what the health endpoint says.
 	HealthLag time.Duration
 }
@@ -63,6 +68,8 @@
 	Overfull   int `json:"overfull"`
 	// ColdOverload counts arrivals above ColdSlots while cold.
 	ColdOverload int `json:"cold_overload"`
+	// Crashes counts requests that crashed the target.
+	Crashes int `json:"crashes"`
 	// NonIdempotent counts the runs of each non-idempotent query.
 	NonIdempotent map[string]int `json:"non_idempotent"`
 }
@@ -105,7 +112,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.stats
-	s.MaxRunning = t.maxRunning
+	s.MaxRunning, s.NonIdempotent = t.maxRunning, maps.Clone(t.stats.NonIdempotent)
 	return s
 }
 
@@ -136,6 +143,9 @@
 		writeJSON(w, http.StatusServiceUnavailable, reply)
 		return
 	}
+	if t.options.CrashOn != "" && bytes.Contains(req.Query, []byte(t.options.CrashOn)) {
+		t.crash(&req)
+	}
 	start := time.Now()
 	err := t.work(ctx)
 	t.end(&req, err)
@@ -148,6 +158,20 @@
 	writeJSON(w, http.StatusOK, reply)
 }
 
+// crash breaks the connection of the request and begins a new incarnation.
+func (t *Target) crash(req *targetclient.Request) {
+	t.end(req, context.Canceled)
+	t.mu.Lock()
+	t.stats.Crashes++
+	running := t.requests
+	t.mu.Unlock()
+	for _, stop := range running {
+		stop()
+	}
+	t.Restart()
+	panic(http.ErrAbortHandler)
+}
+
 // begin takes a slot, or says why the request is refused before running.
 func (t *Target) begin(req *targetclient.Request, reply *targetclient.Reply, cancel context.CancelFunc) targetclient.Refusal {
 	t.mu.Lock()
