--- a/benchmarks/main.go
+++ b/benchmarks/main.go
@@ -14,6 +14,7 @@
 	_ "teaselbank.example/teaselbank/benchmarks/configbench"
 	_ "teaselbank.example/teaselbank/benchmarks/decisionbench"
 	_ "teaselbank.example/teaselbank/benchmarks/fleetbench"
+	_ "teaselbank.example/teaselbank/benchmarks/membersbench"
 	_ "teaselbank.example/teaselbank/benchmarks/requestbench"
 	_ "teaselbank.example/teaselbank/benchmarks/routingbench"
 	_ "teaselbank.example/teaselbank/benchmarks/searchbench"
--- a/benchmarks/members_calls.go
+++ b/benchmarks/membersbench/calls.go
@@ -1,4 +1,4 @@
-package main
+package membersbench
 
 import (
 	"fmt"
--- a/benchmarks/members_control.go
+++ b/benchmarks/membersbench/control.go
@@ -1,4 +1,4 @@
-package main
+package membersbench
 
 import (
 	"fmt"
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"teaselbank.example/teaselbank/benchmarks/bench"
 	"teaselbank.example/teaselbank/ident"
 	"teaselbank.example/teaselbank/membership"
 	"teaselbank.example/teaselbank/membership/membersim"
@@ -23,8 +24,8 @@
 )
 
 func init() {
-	register("members_control", controlCost)
-	register("members_removal", removalTime)
+	bench.Register("members_control", controlCost)
+	bench.Register("members_removal", removalTime)
 }
 
 // controlSizes are the measured fleets; the design size is last.
@@ -80,12 +81,12 @@
 }
 
 // controlCost measures fleets in memory and adds the cost of real calls, which is measured on loopback.
-func controlCost() ([]Result, error) {
+func controlCost() ([]bench.Result, error) {
 	call, err := measureCalls()
 	if err != nil {
 		return nil, err
 	}
-	results := []Result{
+	results := []bench.Result{
 		{Name: "members_call_framing", Value: call.framing, Unit: "bytes", Informative: true},
 		{Name: "members_call_cpu", Value: call.cpu, Unit: "ms", Informative: true},
 	}
@@ -101,19 +102,19 @@
 		s.cpu += s.calls * call.cpu
 		samples = append(samples, s)
 		results = append(results,
-			Result{Name: fmt.Sprintf("members_bytes_%d_nodes", nodes), Value: s.bytes, Unit: "bytes/s", Bound: maxControlBytes, Less: true},
-			Result{Name: fmt.Sprintf("members_messages_%d_nodes", nodes), Value: s.messages, Unit: "messages/s", Informative: true},
-			Result{Name: fmt.Sprintf("members_cpu_%d_nodes", nodes), Value: s.cpu, Unit: "ms/s", Bound: maxControlCPU, Less: true},
-			Result{Name: fmt.Sprintf("members_memory_%d_nodes", nodes), Value: s.memory, Unit: "MB", Bound: maxControlMemory, Less: true})
+			bench.Result{Name: fmt.Sprintf("members_bytes_%d_nodes", nodes), Value: s.bytes, Unit: "bytes/s", Bound: maxControlBytes, Less: true},
+			bench.Result{Name: fmt.Sprintf("members_messages_%d_nodes", nodes), Value: s.messages, Unit: "messages/s", Informative: true},
+			bench.Result{Name: fmt.Sprintf("members_cpu_%d_nodes", nodes), Value: s.cpu, Unit: "ms/s", Bound: maxControlCPU, Less: true},
+			bench.Result{Name: fmt.Sprintf("members_memory_%d_nodes", nodes), Value: s.memory, Unit: "MB", Bound: maxControlMemory, Less: true})
 	}
 	return append(results, slopes(samples)...), nil
 }
 
 // slopes gives the growth over the measured sizes, for each node that is added.
-func slopes(samples []controlSample) []Result {
+func slopes(samples []controlSample) []bench.Result {
 	first, last := samples[0], samples[len(samples)-1]
 	added := float64(last.nodes - first.nodes)
-	return []Result{
+	return []bench.Result{
 		{Name: "members_bytes_slope", Value: (last.bytes - first.bytes) / added, Unit: "bytes/s/node", Informative: true},
 		{Name: "members_messages_slope", Value: (last.messages - first.messages) / added, Unit: "messages/s/node", Informative: true},
 		{Name: "members_memory_slope", Value: (last.memory - first.memory) * 1000 / added, Unit: "kB/node", Informative: true},
@@ -121,7 +122,7 @@
 }
 
 // removalTime measures when the last of 650 VMs stops giving new work to a killed and to a leaving VM.
-func removalTime() ([]Result, error) {
+func removalTime() ([]bench.Result, error) {
 	f, err := controlFleet(controlSizes[len(controlSizes)-1])
 	if err != nil {
 		return nil, err
@@ -140,7 +141,7 @@
 	}
 	f.VMs[200].Stop()
 	killed, err := until(f.VMs[200], membership.Dead)
-	return []Result{
+	return []bench.Result{
 		{Name: "members_leaving_removed", Value: left, Unit: "s", Bound: maxLeaveSeconds, Less: true},
 		{Name: "members_killed_removed", Value: killed, Unit: "s", Informative: true},
 	}, err
--- /dev/null
+++ b/benchmarks/membersbench/doc.go
@@ -0,0 +1,2 @@
+// Package membersbench measures the failure detector and its cost.
+package membersbench
