Serve a deployment whose configuration and targets are published in a store

Cause: the daemon knew only signed bundles and answered 404 to every client of the users' platform. Change: routes by host and prefix, a topology fed from the store and from peers, connections that never resend, decisions on placement, hedges and answers apart from I/O, and the folder that translates. Plug-ins that need a bundle are not started there.

--- a/cmd/teaselbankd/main.go
+++ b/cmd/teaselbankd/main.go
@@ -15,6 +15,7 @@
 
 	"teaselbank.example/teaselbank/kernel"
 	"teaselbank.example/teaselbank/lifecycle"
+	"teaselbank.example/teaselbank/platform"
 	_ "teaselbank.example/teaselbank/plugin/all"
 	"teaselbank.example/teaselbank/settings"
 	"teaselbank.example/teaselbank/version"
@@ -33,6 +34,9 @@
 }
 
 func run(args []string, signals <-chan os.Signal, stderr io.Writer) int {
+	if path, ok := platform.SettingsFile(); ok && len(args) == 0 {
+		return runSite(path, signals, stderr)
+	}
 	s, err := settings.Parse(args)
 	var help *flags.Error
 	if errors.As(err, &help) && help.Type == flags.ErrHelp {
@@ -47,17 +51,17 @@
 		fmt.Println("teaselbankd", version.Version)
 		return 0
 	}
-	if err := serve(s, signals); err != nil {
+	var state *lifecycle.State
+	if err := serve(kernel.New(s, fx.Populate(&state)), &state, signals); err != nil {
 		_, _ = fmt.Fprintln(stderr, "teaselbankd:", err)
 		return exitFailure
 	}
 	return 0
 }
 
-// serve runs the daemon until the first signal and drains it; a second signal ends the drain at once.
-func serve(s *settings.Settings, signals <-chan os.Signal) error {
-	var state *lifecycle.State
-	app := kernel.New(s, fx.Populate(&state))
+// serve runs the daemon until the first signal and drains it; a second signal ends the drain at once. The app fills in
+// the state.
+func serve(app *fx.App, state **lifecycle.State, signals <-chan os.Signal) error {
 	if err := app.Err(); err != nil {
 		return fmt.Errorf("assemble: %w", err)
 	}
@@ -72,7 +76,7 @@
 	go func() {
 		select {
 		case <-signals:
-			state.Hurry()
+			(*state).Hurry()
 		case <-stopped:
 		}
 	}()
--- /dev/null
+++ b/forward/backends.go
@@ -0,0 +1,132 @@
+// Package forward serves callers' requests from targets: to one target, or to one target of each shard.
+package forward
+
+import (
+	"hash/maphash"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"teaselbank.example/teaselbank/dispatch"
+	"teaselbank.example/teaselbank/ident"
+	"teaselbank.example/teaselbank/leafconn"
+	"teaselbank.example/teaselbank/topology"
+)
+
+// Backend is a target with what this VM keeps of it.
+type Backend struct {
+	Target  *topology.Target
+	Pool    *leafconn.Pool
+	Tracker *dispatch.Tracker
+	local   bool
+	own     bool
+	sharers int
+}
+
+// VMs is what this VM knows of its fleet.
+type VMs struct {
+	// All and Local are upper bounds of the VMs that run, in all zones and in this one.
+	All, Local int
+	// Peers are the ids of the VMs of this zone, this VM among them.
+	Peers []ident.VMID
+}
+
+// backends is an immutable set of backends for one snapshot.
+type backends struct {
+	snapshot  *topology.Snapshot
+	byService map[ident.ServiceID][]*Backend
+	fleet     VMs
+}
+
+// Update takes a new snapshot or a new view of the fleet.
+func (s *Service) Update(snapshot *topology.Snapshot, fleet VMs) {
+	s.updateMu.Lock()
+	defer s.updateMu.Unlock()
+	old := s.backends.Load()
+	next := &backends{snapshot: snapshot, byService: map[ident.ServiceID][]*Backend{}, fleet: fleet}
+	kept := map[*leafconn.Pool]bool{}
+	for service, targets := range snapshot.Targets {
+		if snapshot.Table == nil {
+			break
+		}
+		if _, used := snapshot.Table.Services[service]; !used {
+			continue
+		}
+		for _, t := range targets {
+			b := s.backend(old, t, next)
+			kept[b.Pool] = true
+			next.byService[service] = append(next.byService[service], b)
+		}
+	}
+	s.backends.Store(next)
+	for _, list := range old.byService {
+		for _, b := range list {
+			if !kept[b.Pool] {
+				b.Pool.Close()
+			}
+		}
+	}
+}
+
+// backend returns the backend of a target, with the connections of the one known if the target is the same process.
+func (s *Service) backend(old *backends, t *topology.Target, next *backends) *Backend {
+	b := &Backend{Target: t, local: t.Zone == s.Zone, sharers: max(1, next.fleet.Local)}
+	for _, known := range old.byService[t.Service] {
+		if known.Target.SameProcess(t) {
+			b.Pool, b.Tracker = known.Pool, known.Tracker
+		}
+	}
+	share := dispatch.ConnectionShare(next.snapshot.Table.Services[t.Service].MaxConnections, s.fleetAt(t.Zone, next.fleet), b.local)
+	if b.Pool == nil {
+		tracker := dispatch.NewTracker()
+		b.Tracker = tracker
+		b.Pool = leafconn.NewPool(t.ID, t.Address, s.Protocol, s.Dialer, share, func(took time.Duration, err error) {
+			tracker.Dialed(time.Now(), took, err)
+		})
+	}
+	b.Pool.SetLimit(share)
+	if b.local && len(next.snapshot.Targets[t.Service]) > len(next.fleet.Peers) {
+		b.own = ranksFirst(s.VMID, next.fleet.Peers, t.ID)
+	} else if b.local {
+		b.own = len(next.fleet.Peers) <= 1
+	}
+	return b
+}
+
+// fleetAt returns the VMs that share the targets of a zone; those of another zone are taken to be as many as here.
+func (s *Service) fleetAt(zone ident.Zone, fleet VMs) dispatch.Fleet {
+	return dispatch.Fleet{All: fleet.All, InZone: fleet.Local}
+}
+
+// ranksFirst reports whether this VM has the greatest rendezvous hash for the target.
+func ranksFirst(self ident.VMID, peers []ident.VMID, target ident.TargetID) bool {
+	mine := xxhash.Sum64String(string(self) + "\x00" + string(target))
+	for _, p := range peers {
+		if p != self && xxhash.Sum64String(string(p)+"\x00"+string(target)) > mine {
+			return false
+		}
+	}
+	return true
+}
+
+// seed makes the choice among equal candidates differ between VMs.
+var seed = maphash.MakeSeed()
+
+// Maintain closes idle connections and opens those that are likely to be needed.
+func (s *Service) Maintain(now time.Time) {
+	for _, list := range s.backends.Load().byService {
+		for _, b := range list {
+			b.Pool.Tidy(now)
+			if b.local && b.Target.Leaving.IsZero() && (b.own || len(list) <= warmWholeService) {
+				b.Pool.Warm(warmConnections)
+			}
+		}
+	}
+}
+
+// Connections that are opened before they are needed.
+const (
+	warmConnections = 2
+	// warmWholeService is the number of targets of a service up to which all local ones are connected to.
+	warmWholeService = 6
+)
--- a/gen/teaselbank/peer/v1/peerv1connect/peer.connect.go
+++ b/gen/teaselbank/peer/v1/peerv1connect/peer.connect.go
@@ -31,6 +31,8 @@
 	MembershipServiceName = "teaselbank.peer.v1.MembershipService"
 	// GateServiceName is the fully-qualified name of the GateService service.
 	GateServiceName = "teaselbank.peer.v1.GateService"
+	// FeedServiceName is the fully-qualified name of the FeedService service.
+	FeedServiceName = "teaselbank.peer.v1.FeedService"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -62,6 +64,8 @@
 	MembershipServiceLeaveProcedure = "/teaselbank.peer.v1.MembershipService/Leave"
 	// GateServiceHandoverProcedure is the fully-qualified name of the GateService's Handover RPC.
 	GateServiceHandoverProcedure = "/teaselbank.peer.v1.GateService/Handover"
+	// FeedServiceChangesProcedure is the fully-qualified name of the FeedService's Changes RPC.
+	FeedServiceChangesProcedure = "/teaselbank.peer.v1.FeedService/Changes"
 )
 
 // RelayServiceClient is a client for the teaselbank.peer.v1.RelayService service.
@@ -514,3 +518,75 @@
 func (UnimplementedGateServiceHandler) Handover(context.Context, *connect.Request[v1.HandoverRequest]) (*connect.Response[v1.HandoverResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("teaselbank.peer.v1.GateService.Handover is not implemented"))
 }
+
+// FeedServiceClient is a client for the teaselbank.peer.v1.FeedService service.
+type FeedServiceClient interface {
+	// Changes returns what changed after a revision.
+	Changes(context.Context, *connect.Request[v1.ChangesRequest]) (*connect.Response[v1.ChangesResponse], error)
+}
+
+// NewFeedServiceClient constructs a client for the teaselbank.peer.v1.FeedService service. By
+// default, it uses the Connect protocol with the binary Protobuf Codec, asks for gzipped responses,
+// and sends uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the
+// connect.WithGRPC() or connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewFeedServiceClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) FeedServiceClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	feedServiceMethods := v1.File_teaselbank_peer_v1_peer_proto.Services().ByName("FeedService").Methods()
+	return &feedServiceClient{
+		changes: connect.NewClient[v1.ChangesRequest, v1.ChangesResponse](
+			httpClient,
+			baseURL+FeedServiceChangesProcedure,
+			connect.WithSchema(feedServiceMethods.ByName("Changes")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// feedServiceClient implements FeedServiceClient.
+type feedServiceClient struct {
+	changes *connect.Client[v1.ChangesRequest, v1.ChangesResponse]
+}
+
+// Changes calls teaselbank.peer.v1.FeedService.Changes.
+func (c *feedServiceClient) Changes(ctx context.Context, req *connect.Request[v1.ChangesRequest]) (*connect.Response[v1.ChangesResponse], error) {
+	return c.changes.CallUnary(ctx, req)
+}
+
+// FeedServiceHandler is an implementation of the teaselbank.peer.v1.FeedService service.
+type FeedServiceHandler interface {
+	// Changes returns what changed after a revision.
+	Changes(context.Context, *connect.Request[v1.ChangesRequest]) (*connect.Response[v1.ChangesResponse], error)
+}
+
+// NewFeedServiceHandler builds an HTTP handler from the service implementation. It returns the path
+// on which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewFeedServiceHandler(svc FeedServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	feedServiceMethods := v1.File_teaselbank_peer_v1_peer_proto.Services().ByName("FeedService").Methods()
+	feedServiceChangesHandler := connect.NewUnaryHandler(
+		FeedServiceChangesProcedure,
+		svc.Changes,
+		connect.WithSchema(feedServiceMethods.ByName("Changes")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/teaselbank.peer.v1.FeedService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case FeedServiceChangesProcedure:
+			feedServiceChangesHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedFeedServiceHandler returns CodeUnimplemented from all methods.
+type UnimplementedFeedServiceHandler struct{}
+
+func (UnimplementedFeedServiceHandler) Changes(context.Context, *connect.Request[v1.ChangesRequest]) (*connect.Response[v1.ChangesResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("teaselbank.peer.v1.FeedService.Changes is not implemented"))
+}
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -26,7 +26,7 @@
 // Register adds a plug-in; it is called from init functions. A name that is unknown or taken is a fault of the
 // build, so it stops the process.
 func Register(p Plugin) {
-	if !slices.Contains(order, p.Name) {
+	if !slices.Contains(order, p.Name) && !slices.Contains(siteOrder, p.Name) {
 		panic(fmt.Sprintf("kernel: plug-in %q is not in the ordered list", p.Name))
 	}
 	if _, taken := registry[p.Name]; taken {
@@ -35,8 +35,10 @@
 	registry[p.Name] = p
 }
 
-// Names returns the registered plug-ins in order.
-func Names() []string {
+// Names returns the registered plug-ins of a fleet with bundles, in order.
+func Names() []string { return registered(order) }
+
+func registered(order []string) []string {
 	var names []string
 	for _, name := range order {
 		if _, ok := registry[name]; ok {
@@ -46,8 +48,18 @@
 	return names
 }
 
-// New assembles the daemon. Nothing is opened before Start.
+// New assembles the daemon for a fleet with bundles. Nothing is opened before Start.
 func New(s *settings.Settings, extra ...fx.Option) *fx.App {
+	return assemble(s, Names(), extra)
+}
+
+// NewSite assembles the daemon for a deployment whose configuration is published in a store. extra supplies the parts
+// that reach it.
+func NewSite(s *settings.Settings, extra ...fx.Option) *fx.App {
+	return assemble(s, registered(siteOrder), extra)
+}
+
+func assemble(s *settings.Settings, names []string, extra []fx.Option) *fx.App {
 	options := []fx.Option{
 		fx.Supply(s),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
@@ -55,7 +67,7 @@
 		fx.StartTimeout(s.StartTimeout),
 		fx.StopTimeout(s.DrainTimeout + s.BalancerDelay + stopMargin),
 	}
-	for _, name := range Names() {
+	for _, name := range names {
 		options = append(options, fx.Module(name, registry[name].Options()))
 	}
 	return fx.New(append(options, extra...)...)
--- a/lifecycle/lifecycle.go
+++ b/lifecycle/lifecycle.go
@@ -120,6 +120,16 @@
 // Hurry ends a drain at once; requests that still run are cut off.
 func (s *State) Hurry() { s.hurried.Do(func() { close(s.hurry) }) }
 
+// Stopping reports whether the process has begun to stop.
+func (s *State) Stopping() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stopping
+}
+
+// Stop makes the process not ready for good. Drain does so by itself.
+func (s *State) Stop() { s.stop() }
+
 func (s *State) stop() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/membership/merge.go
+++ b/membership/merge.go
@@ -180,3 +180,8 @@
 }
 
 func sameProcess(a, b ident.Incarnation) bool { return a.Token == b.Token }
+
+// Join asks the VM at an address, of which nothing else is known, for all members and makes this VM known there.
+func (n *Node) Join(address string) {
+	n.locked(func(time.Time) { n.sync(&record{Member: Member{Address: address}}) })
+}
--- a/plugin/all/all.go
+++ b/plugin/all/all.go
@@ -5,7 +5,9 @@
 	// Each import registers one plug-in.
 	_ "teaselbank.example/teaselbank/plugin/admission"
 	_ "teaselbank.example/teaselbank/plugin/callerapi"
+	_ "teaselbank.example/teaselbank/plugin/callerfront"
 	_ "teaselbank.example/teaselbank/plugin/configuration"
+	_ "teaselbank.example/teaselbank/plugin/forwarding"
 	_ "teaselbank.example/teaselbank/plugin/logging"
 	_ "teaselbank.example/teaselbank/plugin/membership"
 	_ "teaselbank.example/teaselbank/plugin/metrics"
@@ -16,5 +18,7 @@
 	_ "teaselbank.example/teaselbank/plugin/relay"
 	_ "teaselbank.example/teaselbank/plugin/search"
 	_ "teaselbank.example/teaselbank/plugin/shutdown"
+	_ "teaselbank.example/teaselbank/plugin/siteapi"
 	_ "teaselbank.example/teaselbank/plugin/ticket"
+	_ "teaselbank.example/teaselbank/plugin/topology"
 )
--- /dev/null
+++ b/plugin/forwarding/forwarding.go
@@ -0,0 +1,194 @@
+// Package forwarding is the plug-in that serves callers' requests from the targets of the topology.
+package forwarding
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.uber.org/fx"
+
+	"teaselbank.example/teaselbank/decisionlog"
+	"teaselbank.example/teaselbank/forward"
+	"teaselbank.example/teaselbank/ident"
+	"teaselbank.example/teaselbank/kernel"
+	"teaselbank.example/teaselbank/leafconn"
+	"teaselbank.example/teaselbank/lifecycle"
+	"teaselbank.example/teaselbank/membership"
+	"teaselbank.example/teaselbank/site"
+	"teaselbank.example/teaselbank/topology"
+)
+
+// Intervals of periodic work.
+const (
+	maintainInterval = 500 * time.Millisecond
+	// settleTime is how long after the start the view of the fleet may lack VMs; until then it is taken to be large.
+	settleTime = 4 * time.Second
+	// unsettledVMs is the size that a fleet is taken to have until then.
+	unsettledVMs = 24
+	// deadCounts is how long a VM that was lost still counts, because it may only be out of reach.
+	deadCounts = 10 * time.Second
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{Name: "forwarding", Options: func() fx.Option {
+		return fx.Options(fx.Provide(newService), fx.Invoke(follow))
+	}})
+}
+
+func newService(s *site.Settings, protocol forward.Protocol, dialer leafconn.Dialer, decisions *decisionlog.Log, state *lifecycle.State) *forward.Service {
+	return forward.New(forward.Options{VMID: s.VMID, Zone: s.Zone, Regions: s.Regions, Protocol: protocol, Dialer: dialer,
+		Extra: s.Extra, Report: reporter(decisions), Stopping: state.Stopping})
+}
+
+// follow keeps the service's backends up to date and makes the VM ready once requests can be served.
+func follow(lc fx.Lifecycle, s *site.Settings, service *forward.Service, topo *topology.State, viewer membership.Viewer, state *lifecycle.State) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var loops sync.WaitGroup
+	changed := make(chan struct{}, 1)
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			topo.OnChange(func(*topology.Snapshot) {
+				select {
+				case changed <- struct{}{}:
+				default:
+				}
+			})
+			loops.Go(func() { update(ctx, s, service, topo, viewer, state, changed) })
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			cancel()
+			loops.Wait()
+			return nil
+		},
+	})
+}
+
+func update(ctx context.Context, s *site.Settings, service *forward.Service, topo *topology.State, viewer membership.Viewer,
+	state *lifecycle.State, changed <-chan struct{}) {
+	start := time.Now()
+	ticker := time.NewTicker(maintainInterval)
+	defer ticker.Stop()
+	var last forward.VMs
+	for {
+		fleet := count(viewer.View(), s.Zone, time.Now(), start)
+		snapshot := topo.Current()
+		service.Update(snapshot, fleet)
+		service.Maintain(time.Now())
+		state.SetReady(snapshot.Table != nil && snapshot.Count() > 0)
+		last = fleet
+		for waiting := true; waiting; {
+			select {
+			case <-changed:
+				waiting = false
+			case <-ticker.C:
+				service.Maintain(time.Now())
+				waiting = same(last, count(viewer.View(), s.Zone, time.Now(), start))
+			case <-ctx.Done():
+				return
+			}
+		}
+	}
+}
+
+func same(a, b forward.VMs) bool {
+	if a.All != b.All || a.Local != b.Local || len(a.Peers) != len(b.Peers) {
+		return false
+	}
+	for i := range a.Peers {
+		if a.Peers[i] != b.Peers[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// count returns upper bounds of the VMs that share the targets.
+func count(view *membership.View, zone ident.Zone, now, start time.Time) forward.VMs {
+	var fleet forward.VMs
+	for _, m := range view.Members {
+		if !m.Usable() && now.Sub(m.Since) > deadCounts {
+			continue
+		}
+		fleet.All++
+		if m.Zone == zone {
+			fleet.Local++
+			if m.Usable() {
+				fleet.Peers = append(fleet.Peers, m.ID)
+			}
+		}
+	}
+	if now.Sub(start) < settleTime {
+		fleet.All = max(fleet.All, unsettledVMs)
+		fleet.Local = max(fleet.Local, unsettledVMs/4)
+	}
+	return fleet
+}
+
+// slowEvent and failEvent are the decision lines of requests; ordinary ones are sampled.
+const (
+	eventServed   = "request"
+	eventUnserved = "request_unserved"
+)
+
+func reporter(decisions *decisionlog.Log) func(*forward.Summary) {
+	return func(sum *forward.Summary) {
+		event := eventServed
+		if sum.Status >= 400 || sum.Left || sum.Late || sum.Covered < sum.Shards {
+			event = eventUnserved
+		}
+		every := 1
+		if event == eventServed {
+			if rand.IntN(servedSample) != 0 {
+				return
+			}
+			every = servedSample
+		} else {
+			var ok bool
+			if every, ok = decisions.Admit(event); !ok {
+				return
+			}
+		}
+		fields := []any{"id", sum.ID, "route", sum.Route, "status", sum.Status, "ms", sum.Took.Milliseconds(), "version", sum.Version,
+			"revision", sum.Revision, "covered", sum.Covered, "shards", sum.Shards, "extras", sum.Extras, "every", every}
+		if sum.Late {
+			fields = append(fields, "late", true)
+		}
+		if sum.Left {
+			fields = append(fields, "caller_left", true)
+		}
+		if sum.Reason != "" {
+			fields = append(fields, "reason", sum.Reason)
+		}
+		for _, a := range sum.Attempts {
+			fields = append(fields, "unit_"+a.Service, describe(a))
+		}
+		decisions.Add(event, fields...)
+	}
+}
+
+// servedSample is how many served requests one line stands for.
+const servedSample = 100
+
+func describe(a forward.Attempted) string {
+	out := ""
+	for i, t := range a.Targets {
+		if i > 0 {
+			out += ","
+		}
+		out += t
+	}
+	if a.Served {
+		return out + ":served"
+	}
+	switch {
+	case a.Err == nil:
+		return out + ":unserved"
+	case errors.Is(a.Err, leafconn.ErrNotSent):
+		return out + ":not_sent"
+	}
+	return out + ":" + a.Err.Error()
+}
--- a/plugin/membership/membership.go
+++ b/plugin/membership/membership.go
@@ -31,7 +31,8 @@
 			fx.Provide(func(t *Table) lifecycle.Leaver { return t }),
 			fx.Provide(fx.Annotate(func(t *Table) lifecycle.ReadyCheck { return t }, fx.ResultTags(lifecycle.ReadinessGroup))),
 			fx.Provide(fx.Annotate(newHandler, fx.ResultTags(peerapi.Group))),
-			fx.Invoke(follow, logChanges, register, fx.Annotate(joinConfig, fx.ParamTags("", `optional:"true"`))),
+			fx.Invoke(fx.Annotate(follow, fx.ParamTags("", "", `optional:"true"`, `optional:"true"`)), logChanges, register,
+				fx.Annotate(joinConfig, fx.ParamTags("", `optional:"true"`))),
 		)
 	}})
 }
@@ -96,13 +97,19 @@
 	}
 }
 
-func follow(lc fx.Lifecycle, t *Table, platform *platformclient.Client, logger *log.Logger) {
+// follow runs the detector. Other VMs are found through the platform's list or through seeds, whichever is provided.
+func follow(lc fx.Lifecycle, t *Table, platform *platformclient.Client, seeds Seeds, logger *log.Logger) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var loops sync.WaitGroup
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			loops.Go(func() { t.run(ctx) })
-			loops.Go(func() { readList(ctx, t, platform, logger.With("component", "membership")) })
+			if platform != nil {
+				loops.Go(func() { readList(ctx, t, platform, logger.With("component", "membership")) })
+			}
+			if seeds != nil {
+				loops.Go(func() { joinSeeds(ctx, t, seeds, logger.With("component", "membership")) })
+			}
 			return nil
 		},
 		OnStop: func(context.Context) error {
--- /dev/null
+++ b/plugin/topology/topology.go
@@ -0,0 +1,152 @@
+// Package topology is the plug-in that follows what the operator and the targets publish and keeps this VM's topology
+// up to date.
+package topology
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"go.uber.org/fx"
+
+	"teaselbank.example/teaselbank/feed"
+	"teaselbank.example/teaselbank/gen/teaselbank/peer/v1/peerv1connect"
+	"teaselbank.example/teaselbank/kernel"
+	"teaselbank.example/teaselbank/membership"
+	"teaselbank.example/teaselbank/membership/wire"
+	"teaselbank.example/teaselbank/placement"
+	"teaselbank.example/teaselbank/plugin/peerapi"
+	"teaselbank.example/teaselbank/topology"
+)
+
+// watchersPerZone is how many VMs of a zone look out for changes with short waits; the others learn of them from their
+// own long waits and from peers.
+const watchersPerZone = 2
+
+// watcherRankName makes the choice of watchers independent of other choices by rank.
+const watcherRankName = "store-watchers"
+
+// Decoder translates a published record; ok is false for one that means nothing to the product.
+type Decoder func(r feed.Record, now time.Time) (change topology.Change, ok bool, err error)
+
+func init() {
+	kernel.Register(kernel.Plugin{Name: "topology", Options: func() fx.Option {
+		return fx.Options(
+			fx.Provide(topology.NewState, newMirror, newPeers, newFollower),
+			fx.Provide(func(p *feed.Peers) membership.ConfigGossip { return p }),
+			fx.Provide(fx.Annotate(newHandler, fx.ResultTags(peerapi.Group))),
+			fx.Invoke(run),
+		)
+	}})
+}
+
+func newMirror(state *topology.State, decode Decoder, logger *log.Logger) *feed.Mirror {
+	logger = logger.With("component", "topology")
+	return feed.NewMirror(func(revision uint64, changed []feed.Record) {
+		now := time.Now()
+		changes := make([]topology.Change, 0, len(changed))
+		for _, r := range changed {
+			change, ok, err := decode(r, now)
+			if err != nil {
+				logger.Warn("record_unreadable", "key", r.Key, "revision", r.Revision, "err", err)
+			}
+			if ok {
+				changes = append(changes, change)
+			}
+		}
+		state.Apply(now, revision, changes)
+		logChanges(logger, revision, changes, state.Current())
+	})
+}
+
+// logChanges writes one line a change, or their number when many come at once.
+func logChanges(logger *log.Logger, revision uint64, changes []topology.Change, s *topology.Snapshot) {
+	const maxLines = 20
+	if len(changes) > maxLines {
+		logger.Info("topology", "revision", revision, "changes", len(changes), "targets", s.Count(), "zones_out", len(s.ZonesOut))
+	}
+	for _, c := range changes {
+		switch {
+		case c.Table != nil:
+			logger.Info("configuration", "revision", revision, "version", c.Table.Version, "routes", c.Table.Routes(), "services", len(c.Table.Services))
+		case c.Zone != "":
+			logger.Info("zone", "revision", revision, "zone_changed", c.Zone, "out", !c.Back)
+		case len(changes) > maxLines:
+		case c.Target != nil:
+			logger.Info("target", "revision", revision, "target", c.Target.ID, "service", c.Target.Service, "address", c.Target.Address,
+				"zone_of", c.Target.Zone, "draining", c.Draining, "cold", !c.Target.ColdUntil.IsZero())
+		case c.Gone != "":
+			logger.Info("target_gone", "revision", revision, "target", c.Gone)
+		}
+	}
+}
+
+// transport is the HTTP client of the exchange with peers.
+func newPeers(mirror *feed.Mirror, logger *log.Logger) *feed.Peers {
+	var client *http.Client = wire.NewHTTPClient()
+	return feed.NewPeers(mirror, client, logger.With("component", "feed"))
+}
+
+func newFollower(source feed.Source, mirror *feed.Mirror, viewer membership.Viewer, logger *log.Logger) *feed.Follower {
+	return feed.NewFollower(source, mirror, logger.With("component", "feed"), func() bool {
+		view := viewer.View()
+		for i, m := range placement.Rank(watcherRankName, view.UsableIn(view.Self.Zone)) {
+			if m.ID == view.Self.ID {
+				return i < watchersPerZone
+			}
+		}
+		return true
+	})
+}
+
+func newHandler(p *feed.Peers) peerapi.Handler {
+	path, h := peerv1connect.NewFeedServiceHandler(p)
+	return peerapi.Handler{Path: path, Handler: h}
+}
+
+// expireInterval is how often targets whose grace has ended are removed.
+const expireInterval = 100 * time.Millisecond
+
+func run(lc fx.Lifecycle, follower *feed.Follower, peers *feed.Peers, state *topology.State, viewer membership.Viewer) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var loops sync.WaitGroup
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			loops.Go(func() { follower.Run(ctx) })
+			loops.Go(func() { peers.Start(ctx, func() string { return anyPeer(viewer.View()) }) })
+			loops.Go(func() { expire(ctx, state) })
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			cancel()
+			loops.Wait()
+			return nil
+		},
+	})
+}
+
+func anyPeer(view *membership.View) string {
+	others := view.UsableIn("")
+	for _, i := range rand.Perm(len(others)) {
+		if others[i].ID != view.Self.ID {
+			return others[i].Address
+		}
+	}
+	return ""
+}
+
+func expire(ctx context.Context, state *topology.State) {
+	ticker := time.NewTicker(expireInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			state.Expire(now)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
