Place by how often targets refuse or fail, and ask a refusing target again

Change: the placement cost holds the share of recent sends that a target refused or failed; targets that refused are asked again when no other is left; unsent extras are refunded; hedges wait for 1.3 x P90, since P95 holds the pauses; a search whose shards are known to be down is refused at once with 503.

--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -9,8 +9,9 @@
 	// hedgeShare is the share of the objective before which no request is hedged: an earlier hedge would spend the
 	// budget on requests that end in time by themselves.
 	hedgeShare = 0.2
-	// hedgeOverP95 is how far beyond the 95th percentile a reply is late.
-	hedgeOverP95 = 1.1
+	// hedgeOverP90 is how far beyond the 90th percentile a reply is late. Higher percentiles hold the pauses that hedges
+	// are meant for.
+	hedgeOverP90 = 1.3
 )
 
 // AnswerBy returns when an answer should leave so that it reaches the caller within the objective.
@@ -26,7 +27,7 @@
 	if objective <= 0 {
 		objective = defaultObjective
 	}
-	return max(share(u.P95, hedgeOverP95), share(objective, hedgeShare)) + rtt
+	return max(share(u.P90, hedgeOverP90), share(objective, hedgeShare)) + rtt
 }
 
 // Progress is the state of a search over shards.
--- a/dispatch/budget.go
+++ b/dispatch/budget.go
@@ -57,6 +57,20 @@
 	return true
 }
 
+// Refund takes back an extra send that provably never reached a target.
+func (b *Budget) Refund(at time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(at)
+	for i := range budgetSteps {
+		slot := (b.step - int64(i) + budgetSteps) % budgetSteps
+		if b.extras[slot] > 0 {
+			b.extras[slot]--
+			return
+		}
+	}
+}
+
 // advance moves to the step of a time since the start of the process.
 func (b *Budget) advance(at time.Duration) {
 	step := int64(at / (b.window / (budgetSteps - 1)))
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -8,6 +8,9 @@
 	unknownZoneDelay = 8 * time.Millisecond
 	// crossZoneCost is what traffic between zones costs beside its delay.
 	crossZoneCost = 3 * time.Millisecond
+	// troubleFactor and troubleCost are the time that a refusal or a failure loses: some usual times, and a constant.
+	troubleFactor = 4
+	troubleCost   = 40 * time.Millisecond
 	// coldCost, avoidCost and leavingCost order the targets of last resort: each kind is used only if all targets of
 	// the kinds before can serve no more.
 	coldCost    = 2 * time.Second
@@ -45,6 +48,7 @@
 	if c.Paused(usual) {
 		cost += max(c.Load.Silence, 2*usual)
 	}
+	cost += time.Duration(c.Load.Trouble * float64(troubleFactor*usual+troubleCost))
 	if c.Cold {
 		cost += coldCost
 	}
--- a/dispatch/estimate.go
+++ b/dispatch/estimate.go
@@ -16,7 +16,7 @@
 
 // Usual is what requests of a route usually take at a target, without the network.
 type Usual struct {
-	Median, P95 time.Duration
+	Median, P90 time.Duration
 }
 
 // Estimator learns what requests of a route take from the replies to first sends.
@@ -31,7 +31,7 @@
 // Initial estimates of a route of which no reply is known: shares of its objective.
 const (
 	initialMedian = 0.12
-	initialP95    = 0.3
+	initialP90    = 0.25
 	// defaultObjective stands for the objective of a route that states none.
 	defaultObjective = 500 * time.Millisecond
 )
@@ -42,7 +42,7 @@
 		objective = defaultObjective
 	}
 	e := &Estimator{}
-	e.usual.Store(&Usual{Median: share(objective, initialMedian), P95: share(objective, initialP95)})
+	e.usual.Store(&Usual{Median: share(objective, initialMedian), P90: share(objective, initialP90)})
 	return e
 }
 
@@ -60,7 +60,7 @@
 	}
 	sorted := slices.Clone(e.sample[:min(e.seen, sampleSize)])
 	slices.Sort(sorted)
-	e.usual.Store(&Usual{Median: sorted[len(sorted)/2], P95: sorted[len(sorted)*95/100]})
+	e.usual.Store(&Usual{Median: sorted[len(sorted)/2], P90: sorted[len(sorted)*90/100]})
 }
 
 func share(d time.Duration, part float64) time.Duration { return time.Duration(float64(d) * part) }
--- a/dispatch/tracker.go
+++ b/dispatch/tracker.go
@@ -17,6 +17,12 @@
 	maxSlowness = 12.0
 	// slownessHalfLife is how fast a slow target that gets no requests is taken to recover, so that it is tried again.
 	slownessHalfLife = 3 * time.Second
+	// troubleGain is the weight of one send in the estimate of how often a target refuses or fails; troubleHalfLife is
+	// how fast a target that gets no requests is taken to be sound again.
+	troubleGain     = 0.15
+	troubleHalfLife = 5 * time.Second
+	// downFailures is how many failures in a row, without any answer, make a target known to be down.
+	downFailures = 2
 	// minAvoid and maxAvoid bound how long a failing target is left alone before one request tries it.
 	minAvoid = 200 * time.Millisecond
 	maxAvoid = 4 * time.Second
@@ -49,6 +55,8 @@
 	failures  int
 	avoid     time.Time
 	wrong     bool
+	trouble   float64
+	troubleAt time.Time
 	rtt       time.Duration
 }
 
@@ -72,12 +80,15 @@
 	case Replied:
 		t.lastReply, t.failures, t.avoid = now, 0, time.Time{}
 		t.learn(now, now.Sub(began), expected)
+		t.noteTrouble(now, 0)
 	case Full:
 		t.lastReply = now
+		t.noteTrouble(now, 1)
 		t.avoid = now.Add(minAvoid / 4)
 	case Wrong:
 		t.wrong = true
 	case Failed:
+		t.noteTrouble(now, 1)
 		t.fail(now)
 	case Unheard:
 		if now.Sub(began) > 2*expected {
@@ -106,11 +117,20 @@
 
 // faded returns the slowness now; it nears 1 while nothing is heard.
 func (t *Tracker) faded(now time.Time) float64 {
-	if t.slowAt.IsZero() {
-		return t.slowness
+	return 1 + decay(t.slowness-1, now, t.slowAt, slownessHalfLife)
+}
+
+func (t *Tracker) noteTrouble(now time.Time, bad float64) {
+	old := decay(t.trouble, now, t.troubleAt, troubleHalfLife)
+	t.trouble, t.troubleAt = old+troubleGain*(bad-old), now
+}
+
+// decay returns what is left of a value that was set at a time.
+func decay(value float64, now, set time.Time, halfLife time.Duration) float64 {
+	if value == 0 || set.IsZero() {
+		return value
 	}
-	halves := float64(now.Sub(t.slowAt)) / float64(slownessHalfLife)
-	return 1 + (t.slowness-1)*math.Exp2(-halves)
+	return value * math.Exp2(-float64(now.Sub(set))/float64(halfLife))
 }
 
 func (t *Tracker) fail(now time.Time) {
@@ -142,6 +162,10 @@
 	Silence time.Duration
 	// Slowness is how many times longer than usual the target takes.
 	Slowness float64
+	// Trouble is the share of recent sends that the target refused or failed, from 0 to 1.
+	Trouble float64
+	// Down reports that the target failed several times in a row and is not yet due to be tried again.
+	Down bool
 	// Avoid reports that the target failed and is left alone; Trying that one request is trying it.
 	Avoid  bool
 	Trying bool
@@ -156,6 +180,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	l := Load{InFlight: len(t.inFlight), Slowness: t.faded(now), Wrong: t.wrong, RTT: t.rtt,
+		Trouble: decay(t.trouble, now, t.troubleAt, troubleHalfLife), Down: t.failures >= downFailures && now.Before(t.avoid),
 		Avoid: now.Before(t.avoid), Trying: t.failures > 0 && len(t.inFlight) > 0}
 	if len(t.inFlight) > 0 {
 		since := t.inFlight[0]
--- a/forward/job.go
+++ b/forward/job.go
@@ -56,6 +56,9 @@
 type unit struct {
 	service ident.ServiceID
 	tried   []*Backend
+	// refused are the tried backends that refused without running; they are asked again if no other is left.
+	refused []*Backend
+	sends   int
 	// runs counts the sends that may have run.
 	runs    int
 	open    []*attempt
@@ -63,7 +66,6 @@
 	// reply is a success; failure is an answer of a target that is passed on if there is no success.
 	reply   *leafconn.Reply
 	failure *leafconn.Reply
-	sent    bool
 	closed  bool
 	lastErr error
 }
@@ -73,6 +75,8 @@
 	send    *leafconn.Send
 	backend *Backend
 	first   bool
+	// paid sends count against the budget of extra sends.
+	paid bool
 }
 
 type unitResult struct {
@@ -109,7 +113,7 @@
 	now := time.Now()
 	for i := range j.units {
 		j.s.budget(j.units[i].service).First(now.Sub(j.s.start))
-		j.send(i, now, true)
+		j.send(i, now, firstSend)
 	}
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
@@ -138,11 +142,14 @@
 	}
 }
 
-// servable reports whether enough units have a target that could be asked.
+// servable reports whether enough units have a target that is not known to be down.
 func (j *job) servable() bool {
+	now := time.Now()
 	n := 0
 	for i := range j.units {
-		if slices.ContainsFunc(j.set.byService[j.units[i].service], j.allowed) {
+		if slices.ContainsFunc(j.set.byService[j.units[i].service], func(b *Backend) bool {
+			return j.allowed(b) && !b.Tracker.Look(now).Down
+		}) {
 			n++
 		}
 	}
@@ -189,37 +196,46 @@
 	return next
 }
 
-// send sends a unit to the best target that was not tried, and reports whether there was one.
-func (j *job) send(i int, now time.Time, first bool) bool {
+// sendKind says why a send is made and whether it counts against the budget of extra sends.
+type sendKind int
+
+const (
+	firstSend sendKind = iota
+	freeSend
+	paidSend
+)
+
+// send sends a unit to the best target that was not tried, or again to one that refused it, and reports whether there
+// was one.
+func (j *job) send(i int, now time.Time, kind sendKind) bool {
 	u := &j.units[i]
 	list := j.set.byService[u.service]
-	if len(list) == 0 || len(u.tried) >= maxSendsPerUnit {
+	if len(list) == 0 || u.sends >= maxSendsPerUnit {
 		return j.unsendable(u)
 	}
-	candidates := make([]dispatch.Candidate, len(list))
-	for k, b := range list {
-		candidates[k] = dispatch.Candidate{Load: b.Tracker.Look(now), Local: b.local, Own: b.own, Sharers: b.sharers,
-			Slots: b.Target.Slots, Cold: now.Before(b.Target.ColdUntil), Leaving: !b.Target.Leaving.IsZero(), Room: b.Pool.Free(),
-			Excluded: !j.allowed(b) || slices.Contains(u.tried, b)}
+	candidates, at := j.choose(list, now, u.tried)
+	if at < 0 && len(u.refused) > 0 {
+		u.tried = slices.DeleteFunc(u.tried, func(b *Backend) bool { return slices.Contains(u.refused, b) })
+		u.refused = nil
+		candidates, at = j.choose(list, now, u.tried)
 	}
-	at := dispatch.Choose(candidates, j.usual.Median, rand.IntN(len(list)))
 	if at < 0 {
 		return j.unsendable(u)
 	}
 	b := list[at]
-	a := &attempt{backend: b, first: first}
+	a := &attempt{backend: b, first: kind == firstSend, paid: kind == paidSend}
 	a.send = &leafconn.Send{Request: j.req, Done: func(r leafconn.Result) { j.done(i, a, r) }}
 	u.tried = append(u.tried, b)
+	u.sends++
+	b.Tracker.Begin(now)
 	u.open = append(u.open, a)
 	u.runs++
-	b.Tracker.Begin(now)
 	if !b.Pool.Submit(a.send, now) {
-		b.Tracker.End(now, now, dispatch.Full, 0)
+		b.Tracker.End(now, now, dispatch.Unheard, 0)
 		u.open = u.open[:len(u.open)-1]
 		u.runs--
-		return j.send(i, now, first)
+		return j.send(i, now, kind)
 	}
-	u.sent = true
 	u.hedgeAt = time.Time{}
 	if j.route.Idempotent && u.runs < j.route.MaxSends {
 		u.hedgeAt = now.Add(dispatch.HedgeAfter(j.usual, candidates[at].Load.RTT, j.route.Objective))
@@ -227,6 +243,17 @@
 	return true
 }
 
+// choose returns the candidates for a unit and the index of the best one, or -1.
+func (j *job) choose(list []*Backend, now time.Time, excluded []*Backend) ([]dispatch.Candidate, int) {
+	candidates := make([]dispatch.Candidate, len(list))
+	for k, b := range list {
+		candidates[k] = dispatch.Candidate{Load: b.Tracker.Look(now), Local: b.local, Own: b.own, Sharers: b.sharers,
+			Slots: b.Target.Slots, Cold: now.Before(b.Target.ColdUntil), Leaving: !b.Target.Leaving.IsZero(), Room: b.Pool.Free(),
+			Excluded: !j.allowed(b) || slices.Contains(excluded, b)}
+	}
+	return candidates, dispatch.Choose(candidates, j.usual.Median, rand.IntN(len(list)))
+}
+
 // unsendable closes a unit for which nothing is under way and no target is left.
 func (j *job) unsendable(u *unit) bool {
 	u.hedgeAt = time.Time{}
@@ -289,10 +316,16 @@
 		j.again(r.unit, now, j.route.Idempotent, true)
 	case reply != nil:
 		u.runs--
+		if reply.Disposition == leafconn.NotRun {
+			u.refused = append(u.refused, r.attempt.backend)
+		}
 		j.again(r.unit, now, true, reply.Disposition == leafconn.NotRun)
 	case !r.result.Sent():
 		u.lastErr = r.result.Err
 		u.runs--
+		if r.attempt.paid {
+			j.s.budget(u.service).Refund(now.Sub(j.s.start))
+		}
 		j.again(r.unit, now, true, false)
 	default:
 		u.lastErr = r.result.Err
@@ -306,7 +339,7 @@
 	if repeatable && u.runs < j.route.MaxSends && now.Before(j.req.Deadline) {
 		if !paid || j.s.budget(u.service).Take(now.Sub(j.s.start), j.set.fleet.All, 0) {
 			j.extras++
-			j.send(i, now, false)
+			j.send(i, now, sendKindOf(paid))
 			return
 		}
 	}
@@ -325,11 +358,18 @@
 		u.hedgeAt = time.Time{}
 		if u.runs < j.route.MaxSends && j.s.budget(u.service).Take(now.Sub(j.s.start), j.set.fleet.All, 0) {
 			j.extras++
-			j.send(i, now, false)
+			j.send(i, now, paidSend)
 		}
 	}
 }
 
+func sendKindOf(paid bool) sendKind {
+	if paid {
+		return paidSend
+	}
+	return freeSend
+}
+
 // abandonOpen gives up what is still under way.
 func (j *job) abandonOpen(grace time.Duration) {
 	for i := range j.units {
