Let two VMs of a zone follow the store and tell the others

Change: the two VMs that rank first in a zone follow the store; changes go down a tree over the zone's VMs, and the failure detector's probes carry the newest revision and the age of the last contact, so that a VM that was missed pulls and a zone without contact for 2.5 s follows the store by itself.

--- a/feed/follow.go
+++ b/feed/follow.go
@@ -22,11 +22,9 @@
 
 // Timing of the source's follower.
 const (
-	// WatchWait is how long a call of a watching VM waits for changes. A watch that went silent is noticed after
-	// WatchWait + callMargin, which leaves time within the three seconds in which a leaving target must be left.
-	WatchWait = 1800 * time.Millisecond
-	// RelaxedWait is the same for a VM that relies on its peers to tell it of changes.
-	RelaxedWait = 20 * time.Second
+	// watchWait is how long a call waits for changes. A call that went silent is noticed after watchWait + callMargin,
+	// which leaves time within the three seconds in which a leaving target must be left.
+	watchWait = 1800 * time.Millisecond
 	// callMargin is how much longer than its wait a call may take.
 	callMargin = 700 * time.Millisecond
 	// loadTimeout bounds a whole read.
@@ -36,89 +34,110 @@
 	// minRetry and maxRetry bound the pause after a failed call.
 	minRetry = 100 * time.Millisecond
 	maxRetry = 800 * time.Millisecond
+	// standbyPoll is how often a VM that does not follow the source checks whether it should.
+	standbyPoll = 200 * time.Millisecond
 )
 
 // Follower keeps a mirror up to date from its source.
 type Follower struct {
-	Source Source
-	Mirror *Mirror
-	Logger *log.Logger
-	// Watching reports whether this VM is one that looks out for changes for its peers.
-	Watching func() bool
+	source Source
+	mirror *Mirror
+	logger *log.Logger
+	// watching reports whether this VM follows the source for its peers; others learn from them.
+	watching func() bool
+	// news is told of each batch from the source that changed something, with the newest record known before it.
+	news func(before uint64, b Batch)
 
-	lastContact atomic.Int64 // nanoseconds since start
 	start       time.Time
+	lastContact atomic.Int64 // nanoseconds since start; 0 if there was none
 	calls       atomic.Uint64
 	failures    atomic.Uint64
 }
 
 // NewFollower returns a follower that has not yet reached its source.
-func NewFollower(source Source, mirror *Mirror, logger *log.Logger, watching func() bool) *Follower {
-	return &Follower{Source: source, Mirror: mirror, Logger: logger, Watching: watching, start: time.Now()}
+func NewFollower(source Source, mirror *Mirror, logger *log.Logger, watching func() bool, news func(uint64, Batch)) *Follower {
+	return &Follower{source: source, mirror: mirror, logger: logger, watching: watching, news: news, start: time.Now()}
 }
 
-// Calls returns how many calls were made, and Failures how many of them failed.
+// Calls returns how many calls were made.
 func (f *Follower) Calls() uint64 { return f.calls.Load() }
 
 // Failures returns how many calls failed.
 func (f *Follower) Failures() uint64 { return f.failures.Load() }
 
-// SinceContact returns how long ago the source last answered.
-func (f *Follower) SinceContact() time.Duration {
-	return time.Since(f.start) - time.Duration(f.lastContact.Load())
+// LastContact returns when the source last answered; the zero time if it never did.
+func (f *Follower) LastContact() time.Time {
+	if since := f.lastContact.Load(); since != 0 {
+		return f.start.Add(time.Duration(since))
+	}
+	return time.Time{}
 }
 
 // Run follows the source until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	retry := minRetry
-	lost := false
-	var after uint64
+	lost, whole := false, false
 	for ctx.Err() == nil {
-		batch, err := f.next(ctx, after)
+		after := f.mirror.Revision()
+		if whole {
+			after = 0
+		}
+		if after != 0 && !f.watching() {
+			pause(ctx, standbyPoll)
+			continue
+		}
+		err := f.step(ctx, after)
 		if ctx.Err() != nil {
 			return
 		}
-		if err == nil {
-			f.lastContact.Store(int64(time.Since(f.start)))
-			changed := f.Mirror.Apply(batch)
+		whole = errors.Is(err, ErrHistoryGone) || whole && err != nil
+		switch {
+		case err == nil:
 			if lost || after == 0 {
-				f.Logger.Info("source_regained", "revision", batch.Revision, "changed", changed, "whole", batch.Whole)
+				f.logger.Info("source_regained", "after", after, "revision", f.mirror.Revision())
 			}
-			after, lost, retry = max(after, batch.Revision), false, minRetry
-			if len(batch.Records) > 0 {
-				pause(ctx, batchDelay)
+			lost, retry = false, minRetry
+		case errors.Is(err, ErrHistoryGone):
+			f.logger.Warn("source_history_gone", "after", after)
+		default:
+			if !lost {
+				f.logger.Warn("source_lost", "after", after, "err", err)
 			}
-			continue
-		}
-		f.failures.Add(1)
-		if errors.Is(err, ErrHistoryGone) {
-			f.Logger.Warn("source_history_gone", "after", after)
-			after = 0
-			continue
-		}
-		if !lost {
-			f.Logger.Warn("source_lost", "after", after, "err", err)
+			lost = true
+			pause(ctx, retry)
+			retry = min(2*retry, maxRetry)
 		}
-		lost = true
-		pause(ctx, retry)
-		retry = min(2*retry, maxRetry)
 	}
 }
 
-func (f *Follower) next(ctx context.Context, after uint64) (Batch, error) {
+// step makes one call and applies its result.
+func (f *Follower) step(ctx context.Context, after uint64) error {
 	f.calls.Add(1)
+	batch, err := f.call(ctx, after)
+	if err != nil {
+		f.failures.Add(1)
+		return err
+	}
+	f.lastContact.Store(int64(time.Since(f.start)))
+	before := f.mirror.Newest()
+	if f.mirror.Apply(batch) > 0 && !batch.Whole {
+		f.news(before, batch)
+	}
+	if len(batch.Records) > 0 {
+		pause(ctx, batchDelay)
+	}
+	return nil
+}
+
+func (f *Follower) call(ctx context.Context, after uint64) (Batch, error) {
 	if after == 0 {
 		ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 		defer cancel()
-		return f.Source.Load(ctx)
-	}
-	wait := RelaxedWait
-	if f.Watching() {
-		wait = WatchWait
+		return f.source.Load(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+callMargin)
+	ctx, cancel := context.WithTimeout(ctx, watchWait+callMargin)
 	defer cancel()
-	return f.Source.Changes(ctx, after, wait)
+	return f.source.Changes(ctx, after, watchWait)
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/feed/peers.go
+++ b/feed/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -18,9 +19,8 @@
 // Timing of calls to peers.
 const (
 	peerTimeout = 800 * time.Millisecond
-	// catchUpDelay is how long a VM that hears of something newer waits for its own source before it asks the peer:
-	// usually both learn of it at the same moment.
-	catchUpDelay = 350 * time.Millisecond
+	// catchUpDelay is how long a VM that hears of something newer waits for the ordinary way before it asks the peer.
+	catchUpDelay = 250 * time.Millisecond
 	// startPoll is how often a VM that knows nothing asks a peer.
 	startPoll = 300 * time.Millisecond
 	// maxPeerAnswer holds a whole copy with a configuration of 1 MB.
@@ -28,38 +28,77 @@
 )
 
 // Peers passes changes between the mirrors of VMs. It takes part in the probes of the failure detector: each carries
-// the newest revision that its sender knows.
+// the newest revision that its sender knows, and how long ago any VM that it heard of was in touch with the source.
 type Peers struct {
 	mirror *Mirror
 	http   *http.Client
 	logger *log.Logger
-	pulls  atomic.Uint64
-	// ahead holds the last peer that knew more; pulling is set while it is asked.
+	// self is this VM's peer address.
+	self string
+	// children returns the peer addresses to which this VM passes changes on.
+	children func() []string
+	// contact returns when this VM's source last answered.
+	contact func() time.Time
+
+	pulls, tells atomic.Uint64
+
 	mu      sync.Mutex
 	pulling bool
-	closed  bool
+	// heard is when another VM was last in touch with the source, as far as this VM heard.
+	heard time.Time
+}
+
+// PeersOptions are the parts of an exchange.
+type PeersOptions struct {
+	Mirror   *Mirror
+	HTTP     *http.Client
+	Logger   *log.Logger
+	Self     string
+	Children func() []string
+	Contact  func() time.Time
 }
 
 // NewPeers returns the exchange for a mirror.
-func NewPeers(mirror *Mirror, client *http.Client, logger *log.Logger) *Peers {
-	return &Peers{mirror: mirror, http: client, logger: logger}
+func NewPeers(o PeersOptions) *Peers {
+	return &Peers{mirror: o.Mirror, http: o.HTTP, logger: o.Logger, self: o.Self, children: o.Children, contact: o.Contact}
 }
 
-// Pulls returns how often a peer was asked.
+// Pulls returns how often a peer was asked, and Tells how often one was told.
 func (p *Peers) Pulls() uint64 { return p.pulls.Load() }
 
-// Version implements membership.ConfigGossip; the version is the newest revision of a record.
-func (p *Peers) Version() (uint64, []byte) { return p.mirror.Newest(), nil }
+// Tells returns how often a peer was told of changes.
+func (p *Peers) Tells() uint64 { return p.tells.Load() }
 
-// PeerHas implements membership.ConfigGossip: a peer that stays ahead of this VM's own source is asked for what it
-// knows.
-func (p *Peers) PeerHas(m membership.Member, version uint64, _ []byte) {
-	if version <= p.mirror.Newest() {
-		return
+// Heard returns when another VM was last in touch with the source.
+func (p *Peers) Heard() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.heard
+}
+
+// Version implements membership.ConfigGossip: the newest revision of a record, and the age of the newest contact with
+// the source in milliseconds.
+func (p *Peers) Version() (uint64, []byte) {
+	seen := p.contact()
+	if heard := p.Heard(); heard.After(seen) {
+		seen = heard
+	}
+	if seen.IsZero() {
+		return p.mirror.Newest(), nil
 	}
+	return p.mirror.Newest(), binary.BigEndian.AppendUint64(nil, uint64(max(0, time.Since(seen).Milliseconds())))
+}
+
+// PeerHas implements membership.ConfigGossip: a peer that stays ahead of this VM is asked for what it knows.
+func (p *Peers) PeerHas(m membership.Member, version uint64, age []byte) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.pulling || p.closed {
+	if len(age) == 8 {
+		if seen := time.Now().Add(-time.Duration(binary.BigEndian.Uint64(age)) * time.Millisecond); seen.After(p.heard) {
+			p.heard = seen
+		}
+	}
+	if version <= p.mirror.Newest() || p.pulling {
 		return
 	}
 	p.pulling = true
@@ -81,27 +120,47 @@
 	p.pulling = false
 }
 
+func (p *Peers) client(address string) peerv1connect.FeedServiceClient {
+	return peerv1connect.NewFeedServiceClient(p.http, "http://"+address, connect.WithReadMaxBytes(maxPeerAnswer))
+}
+
 // Pull asks the peer at an address for what changed.
 func (p *Peers) Pull(ctx context.Context, address string) {
 	p.pulls.Add(1)
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	client := peerv1connect.NewFeedServiceClient(p.http, "http://"+address, connect.WithReadMaxBytes(maxPeerAnswer))
 	after := p.mirror.Revision()
-	resp, err := client.Changes(ctx, connect.NewRequest(&peerv1.ChangesRequest{After: after}))
+	resp, err := p.client(address).Changes(ctx, connect.NewRequest(&peerv1.ChangesRequest{After: after}))
 	if err != nil {
 		p.logger.Warn("peer_pull", "peer", address, "after", after, "err", err)
 		return
 	}
-	b := Batch{Revision: resp.Msg.GetRevision(), Whole: resp.Msg.GetWhole()}
-	for _, r := range resp.Msg.GetRecords() {
-		b.Records = append(b.Records, Record{Key: r.GetKey(), Value: r.GetValue(), Revision: r.GetRevision(), Deleted: r.GetDeleted()})
-	}
+	b := Batch{Records: fromWire(resp.Msg.GetRecords()), Revision: resp.Msg.GetRevision(), Whole: resp.Msg.GetWhole()}
 	if b.Revision <= after {
 		return
 	}
+	before := p.mirror.Newest()
 	changed := p.mirror.Apply(b)
 	p.logger.Info("peer_pull", "peer", address, "after", after, "revision", b.Revision, "changed", changed, "whole", b.Whole)
+	if changed > 0 && !b.Whole {
+		p.Tell(before, b)
+	}
+}
+
+// Tell passes a batch on to the VMs that learn from this one.
+func (p *Peers) Tell(before uint64, b Batch) {
+	msg := &peerv1.TellRequest{After: before, Records: toWire(b.Records), Revision: b.Revision, From: p.self}
+	for _, address := range p.children() {
+		p.tells.Add(1)
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+			defer cancel()
+			if _, err := p.client(address).Tell(ctx, connect.NewRequest(&peerv1.TellRequest{After: msg.After, Records: msg.Records,
+				Revision: msg.Revision, From: msg.From})); err != nil {
+				p.logger.Warn("peer_tell", "peer", address, "revision", b.Revision, "err", err)
+			}
+		}()
+	}
 }
 
 // Start asks peers until something is known or the context ends. next returns the address of a peer, or nothing.
@@ -114,12 +173,42 @@
 	}
 }
 
-// Changes answers a peer.
-func (p *Peers) Changes(_ context.Context, req *connect.Request[peerv1.ChangesRequest]) (*connect.Response[peerv1.ChangesResponse], error) {
-	b := p.mirror.Changes(req.Msg.GetAfter())
-	resp := &peerv1.ChangesResponse{Revision: b.Revision, Whole: b.Whole}
-	for _, r := range b.Records {
-		resp.Records = append(resp.Records, &peerv1.PublishedRecord{Key: r.Key, Value: r.Value, Revision: r.Revision, Deleted: r.Deleted})
+// Server answers peers.
+type Server struct{ Peers *Peers }
+
+// Changes returns what this VM knows.
+func (s Server) Changes(_ context.Context, req *connect.Request[peerv1.ChangesRequest]) (*connect.Response[peerv1.ChangesResponse], error) {
+	b := s.Peers.mirror.Changes(req.Msg.GetAfter())
+	return connect.NewResponse(&peerv1.ChangesResponse{Records: toWire(b.Records), Revision: b.Revision, Whole: b.Whole}), nil
+}
+
+// Tell takes changes. If changes before them are missing here, the sender is asked for all.
+func (s Server) Tell(_ context.Context, req *connect.Request[peerv1.TellRequest]) (*connect.Response[peerv1.TellResponse], error) {
+	p, msg := s.Peers, req.Msg
+	before := p.mirror.Newest()
+	if before < msg.GetAfter() {
+		go p.Pull(context.Background(), msg.GetFrom())
+		return connect.NewResponse(&peerv1.TellResponse{}), nil
+	}
+	b := Batch{Records: fromWire(msg.GetRecords()), Revision: msg.GetRevision()}
+	if p.mirror.Apply(b) > 0 {
+		p.Tell(before, b)
+	}
+	return connect.NewResponse(&peerv1.TellResponse{}), nil
+}
+
+func toWire(records []Record) []*peerv1.PublishedRecord {
+	out := make([]*peerv1.PublishedRecord, len(records))
+	for i, r := range records {
+		out[i] = &peerv1.PublishedRecord{Key: r.Key, Value: r.Value, Revision: r.Revision, Deleted: r.Deleted}
+	}
+	return out
+}
+
+func fromWire(records []*peerv1.PublishedRecord) []Record {
+	out := make([]Record, len(records))
+	for i, r := range records {
+		out[i] = Record{Key: r.GetKey(), Value: r.GetValue(), Revision: r.GetRevision(), Deleted: r.GetDeleted()}
 	}
-	return connect.NewResponse(resp), nil
+	return out
 }
--- a/gen/teaselbank/peer/v1/peerv1connect/peer.connect.go
+++ b/gen/teaselbank/peer/v1/peerv1connect/peer.connect.go
@@ -66,6 +66,8 @@
 	GateServiceHandoverProcedure = "/teaselbank.peer.v1.GateService/Handover"
 	// FeedServiceChangesProcedure is the fully-qualified name of the FeedService's Changes RPC.
 	FeedServiceChangesProcedure = "/teaselbank.peer.v1.FeedService/Changes"
+	// FeedServiceTellProcedure is the fully-qualified name of the FeedService's Tell RPC.
+	FeedServiceTellProcedure = "/teaselbank.peer.v1.FeedService/Tell"
 )
 
 // RelayServiceClient is a client for the teaselbank.peer.v1.RelayService service.
@@ -523,6 +525,8 @@
 type FeedServiceClient interface {
 	// Changes returns what changed after a revision.
 	Changes(context.Context, *connect.Request[v1.ChangesRequest]) (*connect.Response[v1.ChangesResponse], error)
+	// Tell passes changes on to a VM that does not watch the store itself.
+	Tell(context.Context, *connect.Request[v1.TellRequest]) (*connect.Response[v1.TellResponse], error)
 }
 
 // NewFeedServiceClient constructs a client for the teaselbank.peer.v1.FeedService service. By
@@ -542,12 +546,19 @@
 			connect.WithSchema(feedServiceMethods.ByName("Changes")),
 			connect.WithClientOptions(opts...),
 		),
+		tell: connect.NewClient[v1.TellRequest, v1.TellResponse](
+			httpClient,
+			baseURL+FeedServiceTellProcedure,
+			connect.WithSchema(feedServiceMethods.ByName("Tell")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // feedServiceClient implements FeedServiceClient.
 type feedServiceClient struct {
 	changes *connect.Client[v1.ChangesRequest, v1.ChangesResponse]
+	tell    *connect.Client[v1.TellRequest, v1.TellResponse]
 }
 
 // Changes calls teaselbank.peer.v1.FeedService.Changes.
@@ -555,10 +566,17 @@
 	return c.changes.CallUnary(ctx, req)
 }
 
+// Tell calls teaselbank.peer.v1.FeedService.Tell.
+func (c *feedServiceClient) Tell(ctx context.Context, req *connect.Request[v1.TellRequest]) (*connect.Response[v1.TellResponse], error) {
+	return c.tell.CallUnary(ctx, req)
+}
+
 // FeedServiceHandler is an implementation of the teaselbank.peer.v1.FeedService service.
 type FeedServiceHandler interface {
 	// Changes returns what changed after a revision.
 	Changes(context.Context, *connect.Request[v1.ChangesRequest]) (*connect.Response[v1.ChangesResponse], error)
+	// Tell passes changes on to a VM that does not watch the store itself.
+	Tell(context.Context, *connect.Request[v1.TellRequest]) (*connect.Response[v1.TellResponse], error)
 }
 
 // NewFeedServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -574,10 +592,18 @@
 		connect.WithSchema(feedServiceMethods.ByName("Changes")),
 		connect.WithHandlerOptions(opts...),
 	)
+	feedServiceTellHandler := connect.NewUnaryHandler(
+		FeedServiceTellProcedure,
+		svc.Tell,
+		connect.WithSchema(feedServiceMethods.ByName("Tell")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/teaselbank.peer.v1.FeedService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case FeedServiceChangesProcedure:
 			feedServiceChangesHandler.ServeHTTP(w, r)
+		case FeedServiceTellProcedure:
+			feedServiceTellHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -590,3 +616,7 @@
 func (UnimplementedFeedServiceHandler) Changes(context.Context, *connect.Request[v1.ChangesRequest]) (*connect.Response[v1.ChangesResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("teaselbank.peer.v1.FeedService.Changes is not implemented"))
 }
+
+func (UnimplementedFeedServiceHandler) Tell(context.Context, *connect.Request[v1.TellRequest]) (*connect.Response[v1.TellResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("teaselbank.peer.v1.FeedService.Tell is not implemented"))
+}
--- a/plugin/topology/topology.go
+++ b/plugin/topology/topology.go
@@ -5,8 +5,8 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -17,25 +17,18 @@
 	"teaselbank.example/teaselbank/kernel"
 	"teaselbank.example/teaselbank/membership"
 	"teaselbank.example/teaselbank/membership/wire"
-	"teaselbank.example/teaselbank/placement"
 	"teaselbank.example/teaselbank/plugin/peerapi"
+	"teaselbank.example/teaselbank/settings"
 	"teaselbank.example/teaselbank/topology"
 )
 
-// watchersPerZone is how many VMs of a zone look out for changes with short waits; the others learn of them from their
-// own long waits and from peers.
-const watchersPerZone = 2
-
-// watcherRankName makes the choice of watchers independent of other choices by rank.
-const watcherRankName = "store-watchers"
-
 // Decoder translates a published record; ok is false for one that means nothing to the product.
 type Decoder func(r feed.Record, now time.Time) (change topology.Change, ok bool, err error)
 
 func init() {
 	kernel.Register(kernel.Plugin{Name: "topology", Options: func() fx.Option {
 		return fx.Options(
-			fx.Provide(topology.NewState, newMirror, newPeers, newFollower),
+			fx.Provide(topology.NewState, newMirror, newPeers, newFollower, func() *exchange { return new(exchange) }),
 			fx.Provide(func(p *feed.Peers) membership.ConfigGossip { return p }),
 			fx.Provide(fx.Annotate(newHandler, fx.ResultTags(peerapi.Group))),
 			fx.Invoke(run),
@@ -84,33 +77,67 @@
 	}
 }
 
-// transport is the HTTP client of the exchange with peers.
-func newPeers(mirror *feed.Mirror, logger *log.Logger) *feed.Peers {
-	var client *http.Client = wire.NewHTTPClient()
-	return feed.NewPeers(mirror, client, logger.With("component", "feed"))
+func newFollower(source feed.Source, mirror *feed.Mirror, t *exchange, logger *log.Logger) *feed.Follower {
+	f := feed.NewFollower(source, mirror, logger.With("component", "feed"), t.watching, t.tell)
+	t.follower.Store(f)
+	return f
 }
 
-func newFollower(source feed.Source, mirror *feed.Mirror, viewer membership.Viewer, logger *log.Logger) *feed.Follower {
-	return feed.NewFollower(source, mirror, logger.With("component", "feed"), func() bool {
-		view := viewer.View()
-		for i, m := range placement.Rank(watcherRankName, view.UsableIn(view.Self.Zone)) {
-			if m.ID == view.Self.ID {
-				return i < watchersPerZone
-			}
-		}
-		return true
-	})
+// exchange joins the follower and the exchange with peers, each of which needs the other.
+type exchange struct {
+	roles    feed.Roles
+	follower atomic.Pointer[feed.Follower]
+	peers    atomic.Pointer[feed.Peers]
+	viewer   atomic.Pointer[viewerOf]
+}
+
+type viewerOf struct{ membership.Viewer }
+
+func (e *exchange) view() *membership.View {
+	if v := e.viewer.Load(); v != nil {
+		return v.View()
+	}
+	return nil
+}
+
+func (e *exchange) watching() bool {
+	view := e.view()
+	return view == nil || e.roles.Watching(view, e.peers.Load().Heard(), time.Now())
+}
+
+func (e *exchange) tell(before uint64, b feed.Batch) { e.peers.Load().Tell(before, b) }
+
+func (e *exchange) children() []string {
+	if view := e.view(); view != nil {
+		return feed.Children(view)
+	}
+	return nil
+}
+
+func (e *exchange) contact() time.Time {
+	if f := e.follower.Load(); f != nil {
+		return f.LastContact()
+	}
+	return time.Time{}
+}
+
+func newPeers(s *settings.Settings, mirror *feed.Mirror, e *exchange, logger *log.Logger) *feed.Peers {
+	p := feed.NewPeers(feed.PeersOptions{Mirror: mirror, HTTP: wire.NewHTTPClient(), Logger: logger.With("component", "feed"),
+		Self: s.PeerListen, Children: e.children, Contact: e.contact})
+	e.peers.Store(p)
+	return p
 }
 
 func newHandler(p *feed.Peers) peerapi.Handler {
-	path, h := peerv1connect.NewFeedServiceHandler(p)
+	path, h := peerv1connect.NewFeedServiceHandler(feed.Server{Peers: p})
 	return peerapi.Handler{Path: path, Handler: h}
 }
 
 // expireInterval is how often targets whose grace has ended are removed.
 const expireInterval = 100 * time.Millisecond
 
-func run(lc fx.Lifecycle, follower *feed.Follower, peers *feed.Peers, state *topology.State, viewer membership.Viewer) {
+func run(lc fx.Lifecycle, e *exchange, follower *feed.Follower, peers *feed.Peers, state *topology.State, viewer membership.Viewer) {
+	e.viewer.Store(&viewerOf{viewer})
 	ctx, cancel := context.WithCancel(context.Background())
 	var loops sync.WaitGroup
 	lc.Append(fx.Hook{
