Follow the store from one VM of a zone, with heartbeats along the tree of told VMs

Change: one follower a zone, which also tells its VMs that nothing changed; changes are gathered for 400 ms.

--- a/feed/follow.go
+++ b/feed/follow.go
@@ -30,7 +30,7 @@
 	// loadTimeout bounds a whole read.
 	loadTimeout = 2 * time.Second
 	// batchDelay gathers changes that come in a series into one call.
-	batchDelay = 250 * time.Millisecond
+	batchDelay = 400 * time.Millisecond
 	// minRetry and maxRetry bound the pause after a failed call.
 	minRetry = 100 * time.Millisecond
 	maxRetry = 800 * time.Millisecond
@@ -45,7 +45,8 @@
 	logger *log.Logger
 	// watching reports whether this VM follows the source for its peers; others learn from them.
 	watching func() bool
-	// news is told of each batch from the source that changed something, with the newest record known before it.
+	// news is told of each batch from the source that is not whole, with the newest record known before it. A batch
+	// without records tells that the source is still in touch.
 	news func(before uint64, b Batch)
 
 	start       time.Time
@@ -120,7 +121,7 @@
 	}
 	f.lastContact.Store(int64(time.Since(f.start)))
 	before := f.mirror.Newest()
-	if f.mirror.Apply(batch) > 0 && !batch.Whole {
+	if f.mirror.Apply(batch); !batch.Whole {
 		f.news(before, batch)
 	}
 	if len(batch.Records) > 0 {
--- a/feed/peers.go
+++ b/feed/peers.go
@@ -76,6 +76,14 @@
 	return p.heard
 }
 
+func (p *Peers) hear(contact time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if contact.After(p.heard) {
+		p.heard = contact
+	}
+}
+
 // Version implements membership.ConfigGossip: the newest revision of a record, and the age of the newest contact with
 // the source in milliseconds.
 func (p *Peers) Version() (uint64, []byte) {
@@ -91,13 +99,11 @@
 
 // PeerHas implements membership.ConfigGossip: a peer that stays ahead of this VM is asked for what it knows.
 func (p *Peers) PeerHas(m membership.Member, version uint64, age []byte) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	if len(age) == 8 {
-		if seen := time.Now().Add(-time.Duration(binary.BigEndian.Uint64(age)) * time.Millisecond); seen.After(p.heard) {
-			p.heard = seen
-		}
+		p.hear(time.Now().Add(-time.Duration(binary.BigEndian.Uint64(age)) * time.Millisecond))
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if version <= p.mirror.Newest() || p.pulling {
 		return
 	}
@@ -185,13 +191,14 @@
 // Tell takes changes. If changes before them are missing here, the sender is asked for all.
 func (s Server) Tell(_ context.Context, req *connect.Request[peerv1.TellRequest]) (*connect.Response[peerv1.TellResponse], error) {
 	p, msg := s.Peers, req.Msg
+	p.hear(time.Now())
 	before := p.mirror.Newest()
 	if before < msg.GetAfter() {
 		go p.Pull(context.Background(), msg.GetFrom())
 		return connect.NewResponse(&peerv1.TellResponse{}), nil
 	}
 	b := Batch{Records: fromWire(msg.GetRecords()), Revision: msg.GetRevision()}
-	if p.mirror.Apply(b) > 0 {
+	if p.mirror.Apply(b) > 0 || len(b.Records) == 0 {
 		p.Tell(before, b)
 	}
 	return connect.NewResponse(&peerv1.TellResponse{}), nil
--- a/feed/roles.go
+++ b/feed/roles.go
@@ -10,8 +10,9 @@
 
 // Who follows the source, and who tells whom.
 const (
-	// watchersPerZone is how many VMs of a zone follow the source, so that the loss of one goes unnoticed.
-	watchersPerZone = 2
+	// watchersPerZone is how many VMs of a zone follow the source. If they fail, the zone learns of changes from the
+	// probes of other zones' VMs.
+	watchersPerZone = 1
 	// tellFanout is how many VMs each VM tells.
 	tellFanout = 4
 	// contactTimeout is how long no VM may have been in touch with the source before every VM follows it by itself.
--- a/forward/backends.go
+++ b/forward/backends.go
@@ -80,7 +80,7 @@
 	if b.Pool == nil {
 		tracker := dispatch.NewTracker()
 		b.Tracker = tracker
-		b.Pool = leafconn.NewPool(t.ID, t.Address, s.Protocol, s.Dialer, share, func(took time.Duration, err error) {
+		b.Pool = leafconn.NewPool(t.ID, t.Address, s.Protocol, s.Dialer, share, &s.Connections, func(took time.Duration, err error) {
 			tracker.Dialed(time.Now(), took, err)
 		})
 	}
--- a/forward/service.go
+++ b/forward/service.go
@@ -48,7 +48,9 @@
 // Service serves callers' requests.
 type Service struct {
 	Options
-	start time.Time
+	// Connections counts the connections to targets.
+	Connections leafconn.Stats
+	start       time.Time
 
 	updateMu   sync.Mutex
 	backends   atomic.Pointer[backends]
--- a/leafconn/conn.go
+++ b/leafconn/conn.go
@@ -76,7 +76,11 @@
 		p.mu.Lock()
 		s := c.current
 		if s == nil || err != nil {
-			p.drop(c)
+			why := ClosedByTarget
+			if s != nil {
+				why = ClosedBroken
+			}
+			p.drop(c, why)
 			p.dialIfNeeded()
 			p.mu.Unlock()
 			if s != nil {
@@ -102,7 +106,11 @@
 		next = p.assign(c)
 		_, goesOn = p.all[c]
 	} else {
-		p.drop(c)
+		why := ClosedAfterReply
+		if err != nil {
+			why = ClosedBroken
+		}
+		p.drop(c, why)
 		p.dialIfNeeded()
 	}
 	p.mu.Unlock()
--- a/leafconn/pool.go
+++ b/leafconn/pool.go
@@ -40,6 +40,7 @@
 	dialer   Dialer
 	// onDial is told of the end of each attempt to connect.
 	onDial func(took time.Duration, err error)
+	stats  *Stats
 
 	mu      sync.Mutex
 	limit   int
@@ -52,8 +53,8 @@
 }
 
 // NewPool returns a pool of up to limit connections. Nothing is opened yet.
-func NewPool(target ident.TargetID, address string, protocol Protocol, dialer Dialer, limit int, onDial func(time.Duration, error)) *Pool {
-	return &Pool{target: target, address: address, protocol: protocol, dialer: dialer, limit: limit, onDial: onDial, all: map[*conn]struct{}{}}
+func NewPool(target ident.TargetID, address string, protocol Protocol, dialer Dialer, limit int, stats *Stats, onDial func(time.Duration, error)) *Pool {
+	return &Pool{target: target, address: address, protocol: protocol, dialer: dialer, limit: limit, stats: stats, onDial: onDial, all: map[*conn]struct{}{}}
 }
 
 // SetLimit changes the number of connections; those above it are closed as they become idle.
@@ -107,13 +108,16 @@
 		if now.Sub(c.idleSince) < c.idleLimit {
 			return c
 		}
-		p.drop(c)
+		p.drop(c, ClosedIdle)
 	}
 	return nil
 }
 
 // drop forgets a connection and closes it; the pool's lock is held.
-func (p *Pool) drop(c *conn) {
+func (p *Pool) drop(c *conn, why Closed) {
+	if _, known := p.all[c]; known {
+		p.stats.closed[why].Add(1)
+	}
 	delete(p.all, c)
 	p.idle = slices.DeleteFunc(p.idle, func(o *conn) bool { return o == c })
 	_ = c.net.Close()
@@ -161,6 +165,7 @@
 		return
 	}
 	p.opened++
+	p.stats.opened.Add(1)
 	c := newConn(p, nc)
 	p.all[c] = struct{}{}
 	s := p.assign(c)
@@ -195,7 +200,7 @@
 		return s
 	}
 	if p.closed || len(p.all) > p.limit {
-		p.drop(c)
+		p.drop(c, ClosedSpare)
 		return nil
 	}
 	c.idleSince = time.Now()
@@ -241,7 +246,7 @@
 		s.done = true
 	}
 	for _, c := range slices.Clone(p.idle) {
-		p.drop(c)
+		p.drop(c, ClosedSpare)
 	}
 	p.mu.Unlock()
 	for _, s := range failed {
@@ -255,7 +260,7 @@
 	defer p.mu.Unlock()
 	for _, c := range slices.Clone(p.idle) {
 		if now.Sub(c.idleSince) >= c.idleLimit {
-			p.drop(c)
+			p.drop(c, ClosedIdle)
 		}
 	}
 }
--- a/plugin/forwarding/forwarding.go
+++ b/plugin/forwarding/forwarding.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"go.uber.org/fx"
 
 	"teaselbank.example/teaselbank/decisionlog"
@@ -38,13 +39,34 @@
 	}})
 }
 
+// statsInterval is how often a line sums up the connections.
+const statsInterval = 10 * time.Second
+
+// logConnections writes a line with what the connections did since the last one.
+func logConnections(ctx context.Context, service *forward.Service, logger *log.Logger) {
+	ticker := time.NewTicker(statsInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			fields := []any{"opened", service.Connections.Opened(), "running", service.Running()}
+			for _, why := range leafconn.ClosedReasons() {
+				fields = append(fields, "closed_"+why.String(), service.Connections.Closed(why))
+			}
+			logger.Info("connections", fields...)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 func newService(s *site.Settings, protocol forward.Protocol, dialer leafconn.Dialer, decisions *decisionlog.Log, state *lifecycle.State) *forward.Service {
 	return forward.New(forward.Options{VMID: s.VMID, Zone: s.Zone, Regions: s.Regions, Protocol: protocol, Dialer: dialer,
 		Extra: s.Extra, Report: reporter(decisions), Stopping: state.Stopping})
 }
 
 // follow keeps the service's backends up to date and makes the VM ready once requests can be served.
-func follow(lc fx.Lifecycle, s *site.Settings, service *forward.Service, topo *topology.State, viewer membership.Viewer, state *lifecycle.State) {
+func follow(lc fx.Lifecycle, s *site.Settings, service *forward.Service, topo *topology.State, viewer membership.Viewer, state *lifecycle.State, logger *log.Logger) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var loops sync.WaitGroup
 	changed := make(chan struct{}, 1)
@@ -57,6 +79,7 @@
 				}
 			})
 			loops.Go(func() { update(ctx, s, service, topo, viewer, state, changed) })
+			loops.Go(func() { logConnections(ctx, service, logger.With("component", "forwarding")) })
 			return nil
 		},
 		OnStop: func(context.Context) error {
