--- /dev/null
+++ b/forward/world_test.go
@@ -0,0 +1,109 @@
+package forward_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"teaselbank.example/teaselbank/forward"
+	"teaselbank.example/teaselbank/ident"
+	"teaselbank.example/teaselbank/platform"
+	"teaselbank.example/teaselbank/platform/platformtest"
+	"teaselbank.example/teaselbank/routing"
+	"teaselbank.example/teaselbank/site"
+	"teaselbank.example/teaselbank/topology"
+)
+
+// world is one VM in zone a in front of stand-in targets, over real sockets.
+type world struct {
+	t        testing.TB
+	service  *forward.Service
+	front    *httptest.Server
+	leafs    map[string]*platformtest.Leaf
+	snapshot *topology.Snapshot
+	fleet    forward.VMs
+
+	mu        sync.Mutex
+	summaries []forward.Summary
+}
+
+// testExtra allows many extra sends, so that only tests of the budget meet it.
+var testExtra = site.ExtraBudget{Ratio: 0.2, Window: 10 * time.Second, Slack: 1000}
+
+func newWorld(t testing.TB, extra site.ExtraBudget) *world {
+	w := &world{t: t, leafs: map[string]*platformtest.Leaf{}, fleet: forward.VMs{All: 1, Local: 1, Peers: []ident.VMID{"vm-a"}},
+		snapshot: &topology.Snapshot{Targets: map[ident.ServiceID][]*topology.Target{}, ZonesOut: map[ident.Zone]bool{}}}
+	w.service = forward.New(forward.Options{VMID: "vm-a", Zone: "a", Protocol: platform.Wire{}, Dialer: &net.Dialer{}, Extra: extra,
+		Report: func(s *forward.Summary) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.summaries = append(w.summaries, *s)
+		}})
+	w.front = httptest.NewServer(w.service)
+	t.Cleanup(func() {
+		w.front.Close()
+		w.service.Update(&topology.Snapshot{}, w.fleet)
+		for _, l := range w.leafs {
+			l.Close()
+		}
+	})
+	return w
+}
+
+// leaf starts a target of a service in a zone.
+func (w *world) leaf(service, zone string, body []byte) *platformtest.Leaf {
+	w.t.Helper()
+	id := fmt.Sprintf("%s-%s-%d", service, zone, len(w.leafs))
+	l, err := platformtest.NewLeaf(id, body)
+	require.NoError(w.t, err)
+	w.leafs[id] = l
+	s := ident.ServiceID(service)
+	w.snapshot.Targets[s] = append(w.snapshot.Targets[s], &topology.Target{ID: ident.TargetID(id), Service: s, Address: l.Address,
+		Zone: ident.Zone(zone), Slots: 8})
+	return l
+}
+
+// routes publishes the routes with every service that has a target.
+func (w *world) routes(routes ...*routing.Route) {
+	services := map[ident.ServiceID]routing.Service{}
+	for s := range w.snapshot.Targets {
+		services[s] = routing.Service{ID: s, MaxConnections: 64}
+	}
+	w.snapshot.Table = routing.NewTable(1, routes, services, routing.Limits{MaxBodyBytes: 1 << 16})
+	w.publish()
+}
+
+func (w *world) publish() { w.service.Update(w.snapshot, w.fleet) }
+
+// get sends a request as a client does.
+func (w *world) get(path, id string, deadline time.Duration) *http.Response {
+	w.t.Helper()
+	req, err := http.NewRequest(http.MethodGet, w.front.URL+path, nil)
+	require.NoError(w.t, err)
+	req.Host = "h.example"
+	req.Header.Set("Request-Id", id)
+	req.Header.Set("Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(w.t, err)
+	return resp
+}
+
+func single(service string) *routing.Route {
+	return &routing.Route{Name: service, Host: "h.example", Prefix: "/" + service + "/", Idempotent: true, MaxSends: 2,
+		Split: []routing.Weighted{{Service: ident.ServiceID(service), Weight: 1}}, Timeout: 5 * time.Second, Objective: 300 * time.Millisecond}
+}
+
+func scatter(least float64, shards ...string) *routing.Route {
+	r := &routing.Route{Name: "scatter", Host: "h.example", Prefix: "/q/", Idempotent: true, MaxSends: 2, TopRecords: 3,
+		MinCoverage: least, Timeout: 5 * time.Second, Objective: 300 * time.Millisecond}
+	for _, s := range shards {
+		r.Shards = append(r.Shards, ident.ServiceID(s))
+	}
+	return r
+}
