--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -5,10 +5,12 @@
 // Times of a request relative to its objective.
 const (
 	// returnTime is what the way back to the caller and this VM's own work take of the objective.
-	returnTime = 10 * time.Millisecond
+	returnTime = 22 * time.Millisecond
+	// maxReturnShare bounds that part for short objectives.
+	maxReturnShare = 0.4
 	// hedgeShare is the share of the objective before which no request is hedged: an earlier hedge would spend the
 	// budget on requests that end in time by themselves.
-	hedgeShare = 0.1
+	hedgeShare = 0.2
 	// hedgeOverP90 is how far beyond the 90th percentile a reply is late. Higher percentiles hold the pauses that hedges
 	// are meant for.
 	hedgeOverP90 = 1.3
@@ -19,7 +21,7 @@
 	if objective <= 0 {
 		objective = defaultObjective
 	}
-	return arrived.Add(objective - min(returnTime, objective/5))
+	return arrived.Add(objective - min(returnTime, share(objective, maxReturnShare)))
 }
 
 // HedgeAfter returns how long after its send a request that has no reply is sent to one more target.
