Turn callers of an isolated zone away to zones that can serve them

Load pattern: a zone is cut off; its VMs reach too few shards, while its callers could reach other zones. Change: a VM that heard of no VM of another zone for 2 s and lacked targets for half of its requests is not ready and closes callers' connections; a target that failed twice in a row counts as down while it is tried.

--- a/dispatch/tracker.go
+++ b/dispatch/tracker.go
@@ -164,7 +164,7 @@
 	Slowness float64
 	// Trouble is the share of recent sends that the target refused or failed, from 0 to 1.
 	Trouble float64
-	// Down reports that the target failed several times in a row and is not yet due to be tried again.
+	// Down reports that the target failed several times in a row, and is left alone or being tried.
 	Down bool
 	// Avoid reports that the target failed and is left alone; Trying that one request is trying it.
 	Avoid  bool
@@ -180,7 +180,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	l := Load{InFlight: len(t.inFlight), Slowness: t.faded(now), Wrong: t.wrong, RTT: t.rtt,
-		Trouble: decay(t.trouble, now, t.troubleAt, troubleHalfLife), Down: t.failures >= downFailures && now.Before(t.avoid),
+		Trouble: decay(t.trouble, now, t.troubleAt, troubleHalfLife), Down: t.failures >= downFailures && (now.Before(t.avoid) || len(t.inFlight) > 0),
 		Avoid: now.Before(t.avoid), Trying: t.failures > 0 && len(t.inFlight) > 0}
 	if len(t.inFlight) > 0 {
 		since := t.inFlight[0]
--- a/forward/service.go
+++ b/forward/service.go
@@ -41,8 +41,8 @@
 	Extra    site.ExtraBudget
 	// Report is told of each finished request; it must not block.
 	Report func(*Summary)
-	// Stopping reports whether callers should use other connections from now on.
-	Stopping func() bool
+	// Away reports whether callers should open other connections from now on, which reach other VMs.
+	Away func() bool
 }
 
 // Service serves callers' requests.
@@ -57,6 +57,8 @@
 	estimators sync.Map // routeKey to *dispatch.Estimator
 	budgets    sync.Map // ident.ServiceID to *dispatch.Budget
 	running    atomic.Int64
+	requests   atomic.Uint64
+	lacking    atomic.Uint64
 }
 
 // New returns a service that knows no target yet.
@@ -69,6 +71,9 @@
 // Running returns how many requests are being served.
 func (s *Service) Running() int64 { return s.running.Load() }
 
+// Counts returns how many requests there were, and how many of them lacked targets.
+func (s *Service) Counts() (requests, lacking uint64) { return s.requests.Load(), s.lacking.Load() }
+
 type routeKey struct{ host, prefix string }
 
 func (s *Service) estimator(r *routing.Route) *dispatch.Estimator {
@@ -93,7 +98,7 @@
 	arrived := time.Now()
 	s.running.Add(1)
 	defer s.running.Add(-1)
-	if s.Stopping != nil && s.Stopping() {
+	if s.Away != nil && s.Away() {
 		w.Header().Set("Connection", "close")
 	}
 	set := s.backends.Load()
@@ -160,6 +165,10 @@
 	j := s.newJob(set, route, req, sum.Arrived)
 	end := j.run(ctx)
 	sum.take(j, end)
+	s.requests.Add(1)
+	if end == endFailed {
+		s.lacking.Add(1)
+	}
 	switch {
 	case end == endLeft:
 		// Nobody is there to answer; closing the connection is all that is left to do.
--- a/plugin/forwarding/forwarding.go
+++ b/plugin/forwarding/forwarding.go
@@ -12,12 +12,14 @@
 	"go.uber.org/fx"
 
 	"teaselbank.example/teaselbank/decisionlog"
+	"teaselbank.example/teaselbank/dispatch"
 	"teaselbank.example/teaselbank/forward"
 	"teaselbank.example/teaselbank/ident"
 	"teaselbank.example/teaselbank/kernel"
 	"teaselbank.example/teaselbank/leafconn"
 	"teaselbank.example/teaselbank/lifecycle"
 	"teaselbank.example/teaselbank/membership"
+	plugintopology "teaselbank.example/teaselbank/plugin/topology"
 	"teaselbank.example/teaselbank/site"
 	"teaselbank.example/teaselbank/topology"
 )
@@ -62,11 +64,12 @@
 
 func newService(s *site.Settings, protocol forward.Protocol, dialer leafconn.Dialer, decisions *decisionlog.Log, state *lifecycle.State) *forward.Service {
 	return forward.New(forward.Options{VMID: s.VMID, Zone: s.Zone, Regions: s.Regions, Protocol: protocol, Dialer: dialer,
-		Extra: s.Extra, Report: reporter(decisions), Stopping: state.Stopping})
+		Extra: s.Extra, Report: reporter(decisions), Away: func() bool { return !state.Ready() }})
 }
 
 // follow keeps the service's backends up to date and makes the VM ready once requests can be served.
-func follow(lc fx.Lifecycle, s *site.Settings, service *forward.Service, topo *topology.State, viewer membership.Viewer, state *lifecycle.State, logger *log.Logger) {
+func follow(lc fx.Lifecycle, s *site.Settings, service *forward.Service, topo *topology.State, viewer membership.Viewer, contacts *plugintopology.Contacts,
+	state *lifecycle.State, logger *log.Logger) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var loops sync.WaitGroup
 	changed := make(chan struct{}, 1)
@@ -78,7 +81,9 @@
 				default:
 				}
 			})
-			loops.Go(func() { update(ctx, s, service, topo, viewer, state, changed) })
+			loops.Go(func() {
+				update(ctx, s, service, topo, viewer, contacts, state, changed, logger.With("component", "forwarding"))
+			})
 			loops.Go(func() { logConnections(ctx, service, logger.With("component", "forwarding")) })
 			return nil
 		},
@@ -91,17 +96,29 @@
 }
 
 func update(ctx context.Context, s *site.Settings, service *forward.Service, topo *topology.State, viewer membership.Viewer,
-	state *lifecycle.State, changed <-chan struct{}) {
+	contacts *plugintopology.Contacts, state *lifecycle.State, changed <-chan struct{}, logger *log.Logger) {
 	start := time.Now()
 	ticker := time.NewTicker(maintainInterval)
 	defer ticker.Stop()
 	var last forward.VMs
+	var readiness dispatch.Readiness
+	wasReady := false
+	setReady := func(snapshot *topology.Snapshot) {
+		requests, lacking := service.Counts()
+		ready := readiness.Decide(time.Now(), requests, lacking, contacts.OtherZone()) && snapshot.Table != nil && snapshot.Count() > 0
+		if ready != wasReady {
+			wasReady = ready
+			logger.Info("readiness", "ready", ready, "requests", requests, "lacking", lacking, "targets", snapshot.Count(),
+				"other_zone_heard", contacts.OtherZone())
+		}
+		state.SetReady(ready)
+	}
 	for {
 		fleet := count(viewer.View(), s.Zone, time.Now(), start)
 		snapshot := topo.Current()
 		service.Update(snapshot, fleet)
 		service.Maintain(time.Now())
-		state.SetReady(snapshot.Table != nil && snapshot.Count() > 0)
+		setReady(snapshot)
 		last = fleet
 		for waiting := true; waiting; {
 			select {
@@ -109,6 +126,7 @@
 				waiting = false
 			case <-ticker.C:
 				service.Maintain(time.Now())
+				setReady(topo.Current())
 				waiting = same(last, count(viewer.View(), s.Zone, time.Now(), start))
 			case <-ctx.Done():
 				return
--- a/plugin/topology/topology.go
+++ b/plugin/topology/topology.go
@@ -29,7 +29,8 @@
 	kernel.Register(kernel.Plugin{Name: "topology", Options: func() fx.Option {
 		return fx.Options(
 			fx.Provide(topology.NewState, newMirror, newPeers, newFollower, func() *exchange { return new(exchange) }),
-			fx.Provide(func(p *feed.Peers) membership.ConfigGossip { return p }),
+			fx.Provide(newContacts),
+			fx.Provide(func(c *Contacts) membership.ConfigGossip { return c }),
 			fx.Provide(fx.Annotate(newHandler, fx.ResultTags(peerapi.Group))),
 			fx.Invoke(run),
 		)
