--- /dev/null
+++ b/feed/feed_test.go
@@ -0,0 +1,268 @@
+package feed_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"teaselbank.example/teaselbank/feed"
+	"teaselbank.example/teaselbank/gen/teaselbank/peer/v1/peerv1connect"
+	"teaselbank.example/teaselbank/ident"
+	"teaselbank.example/teaselbank/membership"
+)
+
+func quiet() *log.Logger { return log.New(io.Discard) }
+
+// Guards against a mirror that goes back, whatever order late batches, whole copies and peers' answers come in, and
+// against one that differs from the source at the end.
+func TestMirrorNeverGoesBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		source := newHistory()
+		var last uint64
+		m := feed.NewMirror(func(revision uint64, changed []feed.Record) {
+			require.GreaterOrEqual(t, revision, last)
+			last = revision
+		})
+		shown := map[string]uint64{}
+		other := feed.NewMirror(func(uint64, []feed.Record) {})
+		var late []feed.Batch
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0, 1:
+				source.write(rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "key"), rapid.Bool().Draw(t, "delete"))
+			case 2:
+				m.Apply(source.since(m.Revision()))
+			case 3:
+				late = append(late, source.whole(), source.since(m.Revision()))
+			case 4:
+				if len(late) > 0 {
+					m.Apply(late[0])
+					late = late[1:]
+				}
+			case 5:
+				other.Apply(source.since(other.Revision()))
+				m.Apply(other.Changes(m.Revision()))
+			}
+			for _, r := range m.Changes(0).Records {
+				require.GreaterOrEqual(t, r.Revision, shown[r.Key])
+				shown[r.Key] = r.Revision
+			}
+		}
+		m.Apply(source.since(m.Revision()))
+		require.Equal(t, source.keys(), keysOf(m.Changes(0)))
+	})
+}
+
+// history is a source with all its changes.
+type history struct {
+	rev uint64
+	log []feed.Record
+}
+
+func newHistory() *history { return &history{rev: 1} }
+
+func (h *history) write(key string, deleted bool) {
+	h.rev++
+	r := feed.Record{Key: key, Revision: h.rev, Deleted: deleted}
+	if !deleted {
+		r.Value = []byte(strconv.FormatUint(h.rev, 10))
+	}
+	h.log = append(h.log, r)
+}
+
+func (h *history) since(after uint64) feed.Batch {
+	if after == 0 {
+		return h.whole()
+	}
+	b := feed.Batch{Revision: h.rev}
+	for _, r := range h.log {
+		if r.Revision > after {
+			b.Records = append(b.Records, r)
+		}
+	}
+	return b
+}
+
+func (h *history) whole() feed.Batch {
+	newest := map[string]feed.Record{}
+	for _, r := range h.log {
+		newest[r.Key] = r
+	}
+	b := feed.Batch{Revision: h.rev, Whole: true}
+	for _, r := range newest {
+		if !r.Deleted {
+			b.Records = append(b.Records, r)
+		}
+	}
+	return b
+}
+
+func (h *history) keys() map[string]string { return keysOf(h.whole()) }
+
+func keysOf(b feed.Batch) map[string]string {
+	keys := map[string]string{}
+	for _, r := range b.Records {
+		if !r.Deleted {
+			keys[r.Key] = string(r.Value)
+		}
+	}
+	return keys
+}
+
+// Guards against deletions that are lost for a peer that lags beyond those kept.
+func TestMirrorGivesWholeCopyBeyondTombstones(t *testing.T) {
+	source := newHistory()
+	m := feed.NewMirror(func(uint64, []feed.Record) {})
+	source.write("kept", false)
+	m.Apply(source.whole())
+	lagging := m.Revision()
+	for i := range 3000 {
+		source.write("k"+strconv.Itoa(i), false)
+		source.write("k"+strconv.Itoa(i), true)
+		m.Apply(source.since(m.Revision()))
+	}
+	b := m.Changes(lagging)
+	require.True(t, b.Whole)
+	require.Equal(t, source.keys(), keysOf(b))
+}
+
+// scripted is a source whose answers a test gives.
+type scripted struct {
+	mu    sync.Mutex
+	loads int
+	next  chan func() (feed.Batch, error)
+	whole func() (feed.Batch, error)
+}
+
+func (s *scripted) Load(context.Context) (feed.Batch, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loads++
+	return s.whole()
+}
+
+func (s *scripted) Changes(ctx context.Context, _ uint64, _ time.Duration) (feed.Batch, error) {
+	select {
+	case f := <-s.next:
+		return f()
+	case <-ctx.Done():
+		return feed.Batch{}, ctx.Err()
+	}
+}
+
+// Guards against a follower that stops, or misses changes, when the history is gone or a call fails.
+func TestFollowerReloads(t *testing.T) {
+	h := newHistory()
+	h.write("a", false)
+	source := &scripted{next: make(chan func() (feed.Batch, error), 8)}
+	source.whole = func() (feed.Batch, error) { return h.whole(), nil }
+	m := feed.NewMirror(func(uint64, []feed.Record) {})
+	f := feed.NewFollower(source, m, quiet(), func() bool { return true }, func(uint64, feed.Batch) {})
+	source.next <- func() (feed.Batch, error) { return feed.Batch{}, errors.New("reset") }
+	source.next <- func() (feed.Batch, error) {
+		source.mu.Lock()
+		defer source.mu.Unlock()
+		h.write("b", false)
+		h.write("a", true)
+		return feed.Batch{}, feed.ErrHistoryGone
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { f.Run(ctx) })
+	require.Eventually(t, func() bool {
+		keys := keysOf(m.Changes(0))
+		return len(keys) == 1 && keys["b"] != ""
+	}, 20*time.Second, time.Millisecond)
+	cancel()
+	running.Wait()
+	require.Equal(t, 2, source.loads)
+	require.EqualValues(t, 2, f.Failures())
+}
+
+// peer is one VM's exchange behind a real listener.
+type peer struct {
+	mirror  *feed.Mirror
+	peers   *feed.Peers
+	address string
+}
+
+func newPeer(t *testing.T, children func() []string) *peer {
+	p := &peer{mirror: feed.NewMirror(func(uint64, []feed.Record) {})}
+	mux := http.NewServeMux()
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	p.address = server.Listener.Addr().String()
+	p.peers = feed.NewPeers(feed.PeersOptions{Mirror: p.mirror, HTTP: server.Client(), Logger: quiet(), Self: p.address,
+		Children: children, Contact: func() time.Time { return time.Time{} }})
+	mux.Handle(peerv1connect.NewFeedServiceHandler(feed.Server{Peers: p.peers}))
+	return p
+}
+
+// Guards against a VM that the store turns away and that learns nothing: changes reach it down the tree, a gap makes it
+// ask for all, and a probe that tells of something newer does too.
+func TestPeersTell(t *testing.T) {
+	h := newHistory()
+	leaf := newPeer(t, func() []string { return nil })
+	middle := newPeer(t, func() []string { return []string{leaf.address} })
+	root := newPeer(t, func() []string { return []string{middle.address} })
+	tell := func() {
+		before, after := root.mirror.Newest(), root.mirror.Revision()
+		b := h.since(max(1, after))
+		root.mirror.Apply(b)
+		root.peers.Tell(before, b)
+	}
+	same := func(p *peer) func() bool {
+		return func() bool { return p.mirror.Newest() == root.mirror.Newest() }
+	}
+	h.write("a", false)
+	tell()
+	require.Eventually(t, same(leaf), 20*time.Second, time.Millisecond)
+	h.write("b", false)
+	root.mirror.Apply(h.since(root.mirror.Revision()))
+	h.write("c", false)
+	tell()
+	require.Eventually(t, same(leaf), 20*time.Second, time.Millisecond)
+	require.Equal(t, h.keys(), keysOf(leaf.mirror.Changes(0)))
+	h.write("d", false)
+	root.mirror.Apply(h.since(root.mirror.Revision()))
+	leaf.peers.PeerHas(membership.Member{ID: "root", Address: root.address}, root.mirror.Newest(), nil)
+	require.Eventually(t, same(leaf), 20*time.Second, time.Millisecond)
+}
+
+// Guards against a zone that nobody follows the source for, and against every VM following it.
+func TestRoles(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var members []membership.Member
+	for i := range 12 {
+		id := ident.VMID("vm-" + strconv.Itoa(i))
+		members = append(members, membership.Member{ID: id, Zone: "a", Address: string(id), State: membership.Alive})
+	}
+	watching, told := 0, map[string]int{}
+	for _, self := range members {
+		view := membership.NewView(self, members, 1, now)
+		var r feed.Roles
+		if r.Watching(view, now, now) {
+			watching++
+		}
+		var silent feed.Roles
+		require.True(t, silent.Watching(view, now.Add(-3*time.Second), now), "nobody is in touch")
+		for _, address := range feed.Children(view) {
+			told[address]++
+		}
+	}
+	require.Equal(t, 1, watching)
+	require.Len(t, told, len(members)-1)
+	for address, times := range told {
+		require.Equal(t, 1, times, address)
+	}
+}
--- a/feed/mirror.go
+++ b/feed/mirror.go
@@ -37,7 +37,7 @@
 	revision uint64
 	// newest is the greatest revision of a record.
 	newest uint64
-	// forgotten is the newest revision of a deletion that is no longer kept.
+	// forgotten is the revision up to which deletions may not be kept.
 	forgotten  uint64
 	tombstones int
 	onChange   func(revision uint64, changed []Record)
@@ -78,6 +78,10 @@
 			changed = append(changed, r)
 		}
 	}
+	if b.Whole {
+		// Keys that were deleted before a whole copy are not in it, so this VM can't tell peers of them.
+		m.forgotten = max(m.forgotten, b.Revision)
+	}
 	first := m.revision == 0
 	m.revision = max(m.revision, b.Revision)
 	m.prune()
@@ -109,7 +113,8 @@
 	if known && (r.Revision < old.Revision || r.Revision == old.Revision && r.Deleted == old.Deleted) {
 		return false
 	}
-	if !known && r.Deleted && r.Revision <= m.revision {
+	if !known && (r.Deleted && r.Revision <= m.revision || r.Revision <= m.forgotten) {
+		// A key that is unknown here, and older than what was forgotten, has been deleted since.
 		return false
 	}
 	m.records[r.Key] = r
--- a/forward/backends.go
+++ b/forward/backends.go
@@ -2,7 +2,6 @@
 package forward
 
 import (
-	"hash/maphash"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -25,8 +24,9 @@
 
 // VMs is what this VM knows of its fleet.
 type VMs struct {
-	// All and Local are upper bounds of the VMs that run, in all zones and in this one.
-	All, Local int
+	// All and InZone are upper bounds of the VMs that run, in all zones and in each.
+	All    int
+	InZone map[ident.Zone]int
 	// Peers are the ids of the VMs of this zone, this VM among them.
 	Peers []ident.VMID
 }
@@ -70,13 +70,14 @@
 
 // backend returns the backend of a target, with the connections of the one known if the target is the same process.
 func (s *Service) backend(old *backends, t *topology.Target, next *backends) *Backend {
-	b := &Backend{Target: t, local: t.Zone == s.Zone, sharers: max(1, next.fleet.Local)}
+	b := &Backend{Target: t, local: t.Zone == s.Zone, sharers: max(1, next.fleet.InZone[t.Zone])}
 	for _, known := range old.byService[t.Service] {
 		if known.Target.SameProcess(t) {
 			b.Pool, b.Tracker = known.Pool, known.Tracker
 		}
 	}
-	share := dispatch.ConnectionShare(next.snapshot.Table.Services[t.Service].MaxConnections, s.fleetAt(t.Zone, next.fleet), b.local)
+	share := dispatch.ConnectionShare(next.snapshot.Table.Services[t.Service].MaxConnections,
+		dispatch.Fleet{All: next.fleet.All, InZone: next.fleet.InZone[t.Zone]}, b.local)
 	if b.Pool == nil {
 		tracker := dispatch.NewTracker()
 		b.Tracker = tracker
@@ -93,11 +94,6 @@
 	return b
 }
 
-// fleetAt returns the VMs that share the targets of a zone; those of another zone are taken to be as many as here.
-func (s *Service) fleetAt(zone ident.Zone, fleet VMs) dispatch.Fleet {
-	return dispatch.Fleet{All: fleet.All, InZone: fleet.Local}
-}
-
 // ranksFirst reports whether this VM has the greatest rendezvous hash for the target.
 func ranksFirst(self ident.VMID, peers []ident.VMID, target ident.TargetID) bool {
 	mine := xxhash.Sum64String(string(self) + "\x00" + string(target))
@@ -109,9 +105,6 @@
 	return true
 }
 
-// seed makes the choice among equal candidates differ between VMs.
-var seed = maphash.MakeSeed()
-
 // Maintain closes idle connections and opens those that are likely to be needed.
 func (s *Service) Maintain(now time.Time) {
 	for _, list := range s.backends.Load().byService {
--- a/forward/bench_test.go
+++ b/forward/bench_test.go
@@ -30,8 +30,8 @@
 	for i := 0; b.Loop(); i++ {
 		r := httptest.NewRequest(http.MethodGet, "/q/x", nil)
 		r.Host = "h.example"
-		r.Header.Set("Request-Id", fmt.Sprint(i))
-		r.Header.Set("Deadline-Ms", fmt.Sprint(5*time.Second.Milliseconds()))
+		r.Header.Set(platformtest.HeaderID, fmt.Sprint(i))
+		r.Header.Set(platformtest.HeaderDeadline, fmt.Sprint(5*time.Second.Milliseconds()))
 		rec := httptest.NewRecorder()
 		w.service.ServeHTTP(rec, r)
 		require.Equal(b, http.StatusOK, rec.Code)
--- /dev/null
+++ b/forward/forward_test.go
@@ -0,0 +1,308 @@
+package forward_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"teaselbank.example/teaselbank/ident"
+	"teaselbank.example/teaselbank/platform/platformtest"
+	"teaselbank.example/teaselbank/routing"
+	"teaselbank.example/teaselbank/site"
+	"teaselbank.example/teaselbank/topology"
+)
+
+func body(t *testing.T, resp *http.Response) []byte {
+	t.Helper()
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	return data
+}
+
+// Guards against an answer that differs from the target's: status, body and proof pass unchanged, and the target gets
+// method, path, query and headers as the caller sent them, with its own identity and the time that is left.
+func TestSingleTargetUnchanged(t *testing.T) {
+	w := newWorld(t, testExtra)
+	l := w.leaf("svc", "a", []byte("the target's bytes"))
+	w.routes(single("svc"))
+	req, err := http.NewRequest(http.MethodPut, w.front.URL+"/svc/a%2Fb/../c?x=1&y=%20", http.NoBody)
+	require.NoError(t, err)
+	req.URL.Opaque = "/svc/a%2Fb/../c"
+	req.Host = "H.example:80"
+	req.Header.Set(platformtest.HeaderID, "r1")
+	req.Header.Set(platformtest.HeaderDeadline, "1000")
+	req.Header.Set("X-Own", "kept")
+	req.Header.Set("Connection", "X-Hop")
+	req.Header.Set("X-Hop", "dropped")
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	require.Equal(t, "the target's bytes", string(body(t, resp)))
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.Equal(t, platformtest.Stamp(l.ID, "r1"), resp.Header.Get(platformtest.HeaderSignature))
+	seen := l.Arrivals()
+	require.Len(t, seen, 1)
+	require.Equal(t, http.MethodPut, seen[0].Method)
+	require.Equal(t, "/svc/a%2Fb/../c?x=1&y=%20", seen[0].Target)
+	require.Equal(t, "H.example:80", seen[0].Host)
+	require.Equal(t, l.ID, seen[0].Expect)
+	require.Equal(t, "kept", seen[0].Header.Get("X-Own"))
+	require.Empty(t, seen[0].Header.Get("X-Hop"))
+	require.LessOrEqual(t, seen[0].DeadlineMS, 1000)
+	require.Positive(t, seen[0].DeadlineMS)
+}
+
+// Guards against a failure of a target that is turned into another status, or lost.
+func TestTargetsFailureUnchanged(t *testing.T) {
+	w := newWorld(t, testExtra)
+	l := w.leaf("svc", "a", []byte("broken"))
+	l.Behave(func(platformtest.Arrival) platformtest.Behaviour { return platformtest.Behaviour{Status: 500} })
+	w.routes(single("svc"))
+	resp := w.get("/svc/x", "r1", time.Second)
+	require.Equal(t, "broken", string(body(t, resp)))
+	require.Equal(t, http.StatusInternalServerError, resp.StatusCode)
+	require.Equal(t, platformtest.Stamp(l.ID, "r1"), resp.Header.Get(platformtest.HeaderSignature))
+}
+
+// Guards against a second send of a non-idempotent request after the connection broke, and against calling it not run.
+func TestNonIdempotentRunsOnce(t *testing.T) {
+	w := newWorld(t, testExtra)
+	first, second := w.leaf("svc", "a", nil), w.leaf("svc", "a", nil)
+	reset := func(platformtest.Arrival) platformtest.Behaviour {
+		return platformtest.Behaviour{Raw: func(net.Conn, platformtest.Arrival) {}}
+	}
+	first.Behave(reset)
+	second.Behave(reset)
+	r := single("svc")
+	r.Idempotent = false
+	w.routes(r)
+	resp := w.get("/svc/x", "r1", time.Second)
+	_ = body(t, resp)
+	require.Equal(t, http.StatusBadGateway, resp.StatusCode)
+	require.Equal(t, 1, len(first.Arrivals())+len(second.Arrivals()))
+}
+
+// Guards against a refusal of a target that ends a request which another target would serve, also if the request is
+// not idempotent, because it did not run.
+func TestRefusalIsSentOn(t *testing.T) {
+	w := newWorld(t, testExtra)
+	full, free := w.leaf("svc", "a", nil), w.leaf("svc", "b", []byte("ok"))
+	full.Behave(func(platformtest.Arrival) platformtest.Behaviour {
+		return platformtest.Behaviour{Status: 503, NotRun: true}
+	})
+	r := single("svc")
+	r.Idempotent = false
+	w.routes(r)
+	resp := w.get("/svc/x", "r1", time.Second)
+	require.Equal(t, "ok", string(body(t, resp)))
+	require.Len(t, free.Arrivals(), 1)
+}
+
+// Guards against "not run" for a request that every target refused, without a time to come back, and against 5xx that
+// promise nothing although nothing ran.
+func TestRefusedByAllSaysWhenToComeBack(t *testing.T) {
+	w := newWorld(t, testExtra)
+	for range 2 {
+		w.leaf("svc", "a", nil).Behave(func(platformtest.Arrival) platformtest.Behaviour {
+			return platformtest.Behaviour{Status: 503, NotRun: true}
+		})
+	}
+	w.routes(single("svc"))
+	resp := w.get("/svc/x", "r1", time.Second)
+	_ = body(t, resp)
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.NotEmpty(t, resp.Header.Get("Retry-After"))
+}
+
+// Guards against a request that runs at a process which took over the address of a target.
+func TestMisdirectedIsCorrected(t *testing.T) {
+	w := newWorld(t, testExtra)
+	taken := w.leaf("svc", "a", nil)
+	taken.ID = "another"
+	right := w.leaf("svc", "b", []byte("ok"))
+	w.routes(single("svc"))
+	for i := range 3 {
+		resp := w.get("/svc/x", fmt.Sprint(i), time.Second)
+		require.Equal(t, "ok", string(body(t, resp)))
+	}
+	require.Len(t, taken.Arrivals(), 1, "the address is not used again")
+	require.Len(t, right.Arrivals(), 3)
+}
+
+// Guards against every kind of spoilt answer that looks like success: cut short, unsigned, no HTTP, or of another
+// request.
+func TestSpoiltAnswersAreNoSuccess(t *testing.T) {
+	raw := func(text func(id string) string) platformtest.Behaviour {
+		return platformtest.Behaviour{Raw: func(c net.Conn, a platformtest.Arrival) {
+			_, _ = io.WriteString(c, text(a.ID))
+		}}
+	}
+	success := func(prefix, rest string) platformtest.Behaviour {
+		return raw(func(id string) string { return platformtest.RawSuccess(prefix+id) + rest })
+	}
+	cases := map[string]platformtest.Behaviour{
+		"cut short":     success("", "Content-Length: 10\r\n\r\nabc"),
+		"chunks cut":    success("", "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"),
+		"no HTTP":       raw(func(id string) string { return "garbage " + id + "\r\n\r\n" }),
+		"other request": success("not-", "Content-Length: 1\r\n\r\nx"),
+		"unsigned":      {Unsigned: true},
+		"encoded":       {Header: http.Header{"Content-Encoding": {"gzip"}}},
+	}
+	for name, behaviour := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, testExtra)
+			bad, good := w.leaf("svc", "a", []byte("bad")), w.leaf("svc", "b", []byte("good"))
+			bad.Behave(func(platformtest.Arrival) platformtest.Behaviour { return behaviour })
+			w.routes(single("svc"))
+			resp := w.get("/svc/x", "r1", 2*time.Second)
+			require.Equal(t, "good", string(body(t, resp)))
+			require.Equal(t, platformtest.Stamp(good.ID, "r1"), resp.Header.Get(platformtest.HeaderSignature))
+		})
+	}
+}
+
+// Guards against a connection that is used again after a second answer arrived on it: the late bytes would be taken for
+// the answer to the next request.
+func TestExtraAnswerTaintsConnection(t *testing.T) {
+	w := newWorld(t, testExtra)
+	l := w.leaf("svc", "a", []byte("own"))
+	var once sync.Once
+	l.Behave(func(platformtest.Arrival) platformtest.Behaviour {
+		var b platformtest.Behaviour
+		once.Do(func() {
+			b.Raw = func(c net.Conn, a platformtest.Arrival) {
+				answer := platformtest.RawSuccess(a.ID) + "Content-Length: 3\r\n\r\n"
+				_, _ = io.WriteString(c, answer+"one"+answer+"two")
+				buf := make([]byte, 1)
+				_, _ = c.Read(buf)
+			}
+		})
+		return b
+	})
+	w.routes(single("svc"))
+	require.Equal(t, "one", string(body(t, w.get("/svc/x", "r1", time.Second))))
+	require.Equal(t, "own", string(body(t, w.get("/svc/x", "r2", time.Second))))
+	accepted, _ := l.Connections()
+	require.GreaterOrEqual(t, accepted, 2)
+}
+
+// Guards against hanging past the caller's time or the route's limit, and against a wrong status then.
+func TestAnsweredAtTheLimit(t *testing.T) {
+	w := newWorld(t, testExtra)
+	l := w.leaf("svc", "a", nil)
+	l.Behave(func(platformtest.Arrival) platformtest.Behaviour { return platformtest.Behaviour{Work: time.Hour} })
+	r := single("svc")
+	r.Timeout = 200 * time.Millisecond
+	w.routes(r)
+	resp := w.get("/svc/x", "r1", 30*time.Second)
+	_ = body(t, resp)
+	require.Equal(t, http.StatusGatewayTimeout, resp.StatusCode)
+	require.LessOrEqual(t, l.Arrivals()[0].DeadlineMS, 200)
+}
+
+// Guards against a caller's failure to see that no configuration is known, and against 404 in that state.
+func TestWithoutConfiguration(t *testing.T) {
+	w := newWorld(t, testExtra)
+	resp := w.get("/svc/x", "r1", time.Second)
+	_ = body(t, resp)
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.NotEmpty(t, resp.Header.Get("Retry-After"))
+	w.leaf("svc", "a", nil)
+	w.routes(single("svc"))
+	resp = w.get("/unknown/x", "r2", time.Second)
+	_ = body(t, resp)
+	require.Equal(t, http.StatusNotFound, resp.StatusCode)
+}
+
+// Guards against bodies beyond the limit that are cut or passed on, and against a lost body below it.
+func TestBodies(t *testing.T) {
+	w := newWorld(t, testExtra)
+	l := w.leaf("svc", "a", nil)
+	w.routes(single("svc"))
+	send := func(size int) int {
+		req, err := http.NewRequest(http.MethodPost, w.front.URL+"/svc/x", io.LimitReader(zeros{}, int64(size)))
+		require.NoError(t, err)
+		req.Host = "h.example"
+		req.Header.Set(platformtest.HeaderID, "r")
+		resp, err := http.DefaultClient.Do(req)
+		require.NoError(t, err)
+		_ = body(t, resp)
+		return resp.StatusCode
+	}
+	require.Equal(t, http.StatusOK, send(1<<16))
+	require.Len(t, l.Arrivals()[0].Body, 1<<16)
+	require.Equal(t, http.StatusRequestEntityTooLarge, send(1<<16+1))
+	require.Len(t, l.Arrivals(), 1)
+}
+
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) { return len(p), nil }
+
+// Guards against a target at work for a caller that has left.
+func TestCallerLeaves(t *testing.T) {
+	w := newWorld(t, testExtra)
+	l := w.leaf("svc", "a", nil)
+	arrived := make(chan struct{}, 1)
+	l.Behave(func(platformtest.Arrival) platformtest.Behaviour {
+		arrived <- struct{}{}
+		return platformtest.Behaviour{Work: time.Hour}
+	})
+	w.routes(single("svc"))
+	c, err := net.Dial("tcp", w.front.Listener.Addr().String())
+	require.NoError(t, err)
+	_, err = io.WriteString(c, "GET /svc/x HTTP/1.1\r\nHost: h.example\r\n"+platformtest.HeaderID+": r1\r\n\r\n")
+	require.NoError(t, err)
+	<-arrived
+	require.NoError(t, c.Close())
+	require.Eventually(t, func() bool { _, open := l.Connections(); return open == 0 }, 10*time.Second, 5*time.Millisecond)
+}
+
+// Guards against targets of a zone that was taken out, and of services that the configuration in force does not name.
+func TestZoneOut(t *testing.T) {
+	w := newWorld(t, testExtra)
+	near, far := w.leaf("svc", "a", nil), w.leaf("svc", "b", nil)
+	w.routes(single("svc"))
+	w.snapshot = &topology.Snapshot{Table: w.snapshot.Table, Targets: w.snapshot.Targets, ZonesOut: map[ident.Zone]bool{"a": true}}
+	w.publish()
+	for i := range 5 {
+		_ = body(t, w.get("/svc/x", fmt.Sprint(i), time.Second))
+	}
+	require.Empty(t, near.Arrivals())
+	require.Len(t, far.Arrivals(), 5)
+	w.snapshot.ZonesOut = map[ident.Zone]bool{"a": true, "b": true}
+	w.publish()
+	resp := w.get("/svc/x", "r9", time.Second)
+	_ = body(t, resp)
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.Len(t, far.Arrivals(), 5)
+}
+
+// Guards against moving the overflow of one part of a split to another one.
+func TestSplitKeepsShares(t *testing.T) {
+	w := newWorld(t, site.ExtraBudget{Ratio: 0.2, Window: 10 * time.Second, Slack: 10})
+	full, free := w.leaf("one", "a", nil), w.leaf("two", "a", nil)
+	full.Behave(func(platformtest.Arrival) platformtest.Behaviour {
+		return platformtest.Behaviour{Status: 503, NotRun: true}
+	})
+	r := single("one")
+	r.Split = append(r.Split, routing.Weighted{Service: "two", Weight: 3})
+	w.routes(r)
+	refused := 0
+	const requests = 400
+	for i := range requests {
+		resp := w.get("/one/x", fmt.Sprint(i), time.Second)
+		_ = body(t, resp)
+		if resp.StatusCode == http.StatusServiceUnavailable {
+			refused++
+		}
+	}
+	require.InDelta(t, requests/4, refused, requests/8)
+	require.Equal(t, requests-refused, len(free.Arrivals()))
+}
--- /dev/null
+++ b/forward/scatter_test.go
@@ -0,0 +1,159 @@
+package forward_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"teaselbank.example/teaselbank/platform/platformtest"
+	"teaselbank.example/teaselbank/routing"
+	"teaselbank.example/teaselbank/site"
+	"teaselbank.example/teaselbank/topology"
+)
+
+// shards starts one target for each of n shards in each zone, with records of its own.
+func shards(w *world, n int, zones ...string) (names []string, leafs map[string][]*platformtest.Leaf) {
+	leafs = map[string][]*platformtest.Leaf{}
+	for i := range n {
+		name := fmt.Sprintf("s%d", i)
+		names = append(names, name)
+		for _, zone := range zones {
+			leafs[name] = append(leafs[name], w.leaf(name, zone, platformtest.Records(uint64(i), uint64(100+i), 7)))
+		}
+	}
+	return names, leafs
+}
+
+// Guards against wrong records, wrong order, missing duplicates and wrong proofs in a complete answer.
+func TestScatterComplete(t *testing.T) {
+	w := newWorld(t, testExtra)
+	names, leafs := shards(w, 4, "a")
+	r := scatter(1, names...)
+	r.TopRecords = 6
+	w.routes(r)
+	resp := w.get("/q/x", "r1", time.Second)
+	require.Equal(t, platformtest.Records(103, 102, 101, 100, 7, 7), body(t, resp))
+	require.Equal(t, "0", resp.Header.Get(platformtest.HeaderMissing))
+	got := strings.Split(resp.Header.Get(platformtest.HeaderCovered), ", ")
+	var want []string
+	for _, name := range names {
+		want = append(want, platformtest.Stamp(leafs[name][0].ID, "r1"))
+	}
+	require.ElementsMatch(t, want, got)
+}
+
+// Guards against an answer that waits beyond the objective for a shard that is not needed, or hides that it is missing;
+// and against one that is given early while the shard may still come.
+func TestScatterPartialAtObjective(t *testing.T) {
+	w := newWorld(t, testExtra)
+	names, leafs := shards(w, 4, "a")
+	leafs["s2"][0].Behave(func(platformtest.Arrival) platformtest.Behaviour { return platformtest.Behaviour{Work: time.Hour} })
+	w.routes(scatter(0.75, names...))
+	began := time.Now()
+	resp := w.get("/q/x", "r1", 20*time.Second)
+	require.Equal(t, platformtest.Records(103, 101, 100), body(t, resp))
+	require.Equal(t, "1", resp.Header.Get(platformtest.HeaderMissing))
+	require.GreaterOrEqual(t, time.Since(began), 200*time.Millisecond)
+}
+
+// Guards against failures of targets that are taken for parts, and against success below the least coverage.
+func TestScatterFailureIsNoPart(t *testing.T) {
+	w := newWorld(t, testExtra)
+	names, leafs := shards(w, 4, "a")
+	for _, name := range []string{"s0", "s1"} {
+		leafs[name][0].Behave(func(platformtest.Arrival) platformtest.Behaviour { return platformtest.Behaviour{Status: 500} })
+	}
+	w.routes(scatter(0.75, names...))
+	resp := w.get("/q/x", "r1", 5*time.Second)
+	_ = body(t, resp)
+	require.Equal(t, http.StatusBadGateway, resp.StatusCode)
+	require.Empty(t, resp.Header.Get(platformtest.HeaderCovered))
+}
+
+// Guards against a paused target that makes its search late while another target of the shard is free, and against more
+// sends for one shard than the route allows.
+func TestScatterHedges(t *testing.T) {
+	w := newWorld(t, testExtra)
+	names, leafs := shards(w, 3, "a", "b", "c")
+	leafs["s1"][0].Behave(func(platformtest.Arrival) platformtest.Behaviour { return platformtest.Behaviour{Work: time.Hour} })
+	r := scatter(1, names...)
+	r.Objective = 10 * time.Second
+	w.routes(r)
+	resp := w.get("/q/x", "r1", 20*time.Second)
+	_ = body(t, resp)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.Equal(t, "0", resp.Header.Get(platformtest.HeaderMissing))
+	sent := 0
+	for _, l := range leafs["s1"] {
+		sent += len(l.Arrivals())
+	}
+	require.Equal(t, 2, sent)
+}
+
+// Guards against hedges and retries beyond the budget of extra sends.
+func TestScatterKeepsBudget(t *testing.T) {
+	w := newWorld(t, site.ExtraBudget{Ratio: 0, Window: time.Minute, Slack: 4})
+	names, leafs := shards(w, 1, "a", "b", "c")
+	for _, l := range leafs["s0"] {
+		l.Behave(func(platformtest.Arrival) platformtest.Behaviour { return platformtest.Behaviour{Status: 500} })
+	}
+	w.routes(scatter(1, names...))
+	const searches = 20
+	for i := range searches {
+		_ = body(t, w.get("/q/x", fmt.Sprint(i), time.Second))
+	}
+	sent := 0
+	for _, l := range leafs["s0"] {
+		sent += len(l.Arrivals())
+	}
+	require.LessOrEqual(t, sent, searches+4)
+	require.Greater(t, sent, 0)
+}
+
+// Guards against parts of two configurations in one answer: a search keeps the shards that it began with, although a
+// newer configuration names others meanwhile.
+func TestScatterKeepsItsConfiguration(t *testing.T) {
+	w := newWorld(t, testExtra)
+	names, leafs := shards(w, 3, "a")
+	release := make(chan struct{})
+	arrived := make(chan struct{}, 1)
+	leafs["s2"][0].Behave(func(platformtest.Arrival) platformtest.Behaviour {
+		arrived <- struct{}{}
+		<-release
+		return platformtest.Behaviour{}
+	})
+	r := scatter(1, names...)
+	r.Objective = 10 * time.Second
+	w.routes(r)
+	done := make(chan *http.Response, 1)
+	go func() { done <- w.get("/q/x", "r1", 20*time.Second) }()
+	<-arrived
+	next := scatter(1, "s0", "s1")
+	w.snapshot = &topology.Snapshot{Targets: w.snapshot.Targets, ZonesOut: w.snapshot.ZonesOut,
+		Table: routing.NewTable(2, []*routing.Route{next}, w.snapshot.Table.Services, routing.Limits{})}
+	w.publish()
+	close(release)
+	resp := <-done
+	_ = body(t, resp)
+	require.Len(t, strings.Split(resp.Header.Get(platformtest.HeaderCovered), ", "), 3)
+	resp = w.get("/q/x", "r2", time.Second)
+	_ = body(t, resp)
+	require.Len(t, strings.Split(resp.Header.Get(platformtest.HeaderCovered), ", "), 2)
+}
+
+// Guards against searches that are held although too few shards have a target, and against a refusal that does not say
+// when to come back.
+func TestScatterUnservable(t *testing.T) {
+	w := newWorld(t, testExtra)
+	names, leafs := shards(w, 2, "a")
+	w.routes(scatter(1, append(names, "nobody")...))
+	resp := w.get("/q/x", "r1", 10*time.Second)
+	_ = body(t, resp)
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.NotEmpty(t, resp.Header.Get("Retry-After"))
+	require.Empty(t, leafs["s0"][0].Arrivals(), "nothing ran")
+}
--- a/forward/world_test.go
+++ b/forward/world_test.go
@@ -37,7 +37,7 @@
 var testExtra = site.ExtraBudget{Ratio: 0.2, Window: 10 * time.Second, Slack: 1000}
 
 func newWorld(t testing.TB, extra site.ExtraBudget) *world {
-	w := &world{t: t, leafs: map[string]*platformtest.Leaf{}, fleet: forward.VMs{All: 1, Local: 1, Peers: []ident.VMID{"vm-a"}},
+	w := &world{t: t, leafs: map[string]*platformtest.Leaf{}, fleet: forward.VMs{All: 1, InZone: map[ident.Zone]int{"a": 1}, Peers: []ident.VMID{"vm-a"}},
 		snapshot: &topology.Snapshot{Targets: map[ident.ServiceID][]*topology.Target{}, ZonesOut: map[ident.Zone]bool{}}}
 	w.service = forward.New(forward.Options{VMID: "vm-a", Zone: "a", Protocol: platform.Wire{}, Dialer: &net.Dialer{}, Extra: extra,
 		Report: func(s *forward.Summary) {
@@ -87,8 +87,8 @@
 	req, err := http.NewRequest(http.MethodGet, w.front.URL+path, nil)
 	require.NoError(w.t, err)
 	req.Host = "h.example"
-	req.Header.Set("Request-Id", id)
-	req.Header.Set("Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
+	req.Header.Set(platformtest.HeaderID, id)
+	req.Header.Set(platformtest.HeaderDeadline, fmt.Sprint(deadline.Milliseconds()))
 	resp, err := http.DefaultClient.Do(req)
 	require.NoError(w.t, err)
 	return resp
--- a/plugin/forwarding/forwarding.go
+++ b/plugin/forwarding/forwarding.go
@@ -4,7 +4,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -136,35 +138,27 @@
 }
 
 func same(a, b forward.VMs) bool {
-	if a.All != b.All || a.Local != b.Local || len(a.Peers) != len(b.Peers) {
-		return false
-	}
-	for i := range a.Peers {
-		if a.Peers[i] != b.Peers[i] {
-			return false
-		}
-	}
-	return true
+	return a.All == b.All && maps.Equal(a.InZone, b.InZone) && slices.Equal(a.Peers, b.Peers)
 }
 
 // count returns upper bounds of the VMs that share the targets.
 func count(view *membership.View, zone ident.Zone, now, start time.Time) forward.VMs {
-	var fleet forward.VMs
+	fleet := forward.VMs{InZone: map[ident.Zone]int{}}
 	for _, m := range view.Members {
 		if !m.Usable() && now.Sub(m.Since) > deadCounts {
 			continue
 		}
 		fleet.All++
-		if m.Zone == zone {
-			fleet.Local++
-			if m.Usable() {
-				fleet.Peers = append(fleet.Peers, m.ID)
-			}
+		fleet.InZone[m.Zone]++
+		if m.Zone == zone && m.Usable() {
+			fleet.Peers = append(fleet.Peers, m.ID)
 		}
 	}
 	if now.Sub(start) < settleTime {
 		fleet.All = max(fleet.All, unsettledVMs)
-		fleet.Local = max(fleet.Local, unsettledVMs/4)
+		for z := range fleet.InZone {
+			fleet.InZone[z] = max(fleet.InZone[z], unsettledVMs/4)
+		}
 	}
 	return fleet
 }
--- /dev/null
+++ b/topology/state_test.go
@@ -0,0 +1,66 @@
+package topology_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"teaselbank.example/teaselbank/ident"
+	"teaselbank.example/teaselbank/routing"
+	"teaselbank.example/teaselbank/topology"
+)
+
+func registered(id string, started int64) topology.Change {
+	return topology.Change{Target: &topology.Target{ID: ident.TargetID(id), Service: "s", Address: "10.0.0.1:80", Started: started}}
+}
+
+func ids(s *topology.Snapshot) map[ident.TargetID]bool {
+	leaving := map[ident.TargetID]bool{}
+	for _, t := range s.Targets["s"] {
+		leaving[t.ID] = !t.Leaving.IsZero()
+	}
+	return leaving
+}
+
+// Guards against work for a target that drains or is gone later than the three seconds allowed, however often the entry
+// is written again, and against losing targets at once whose entries lapsed while the registry was away.
+func TestLeaving(t *testing.T) {
+	s := topology.NewState()
+	now := time.Unix(0, 0)
+	draining := registered("drains", 1)
+	draining.Draining = true
+	s.Apply(now, 1, []topology.Change{registered("drains", 1), registered("gone", 1), registered("stays", 1), registered("back", 1)})
+	s.Apply(now, 2, []topology.Change{draining, {Gone: "gone"}, {Gone: "back"}, {Gone: "unknown"}})
+	require.Equal(t, map[ident.TargetID]bool{"drains": true, "gone": true, "back": true, "stays": false}, ids(s.Current()))
+	later := now.Add(1900 * time.Millisecond)
+	again := registered("drains", 1)
+	again.Draining = true
+	s.Apply(later, 3, []topology.Change{again, {Gone: "gone"}, registered("back", 1)})
+	require.Equal(t, now.Add(topology.LeavingGrace), s.Expire(later))
+	require.True(t, s.Expire(now.Add(topology.LeavingGrace)).IsZero())
+	require.Equal(t, map[ident.TargetID]bool{"stays": false, "back": false}, ids(s.Current()))
+	require.Less(t, topology.LeavingGrace, 3*time.Second)
+}
+
+// Guards against a target that starts again under its id and counts as leaving, and against an older configuration.
+func TestNewProcessAndOldConfiguration(t *testing.T) {
+	s := topology.NewState()
+	now := time.Unix(0, 0)
+	s.Apply(now, 1, []topology.Change{registered("a", 1), {Table: routing.NewTable(5, nil, nil, routing.Limits{})}})
+	s.Apply(now, 2, []topology.Change{{Gone: "a"}, registered("a", 2), {Table: routing.NewTable(4, nil, nil, routing.Limits{})}})
+	require.Equal(t, map[ident.TargetID]bool{"a": false}, ids(s.Current()))
+	require.EqualValues(t, 5, s.Current().Table.Version)
+	require.EqualValues(t, 2, s.Current().Revision)
+}
+
+// Guards against a zone that stays out after it was put back, and snapshots that change after they were taken.
+func TestZones(t *testing.T) {
+	s := topology.NewState()
+	s.Apply(time.Unix(0, 0), 1, []topology.Change{{Zone: "a"}})
+	taken := s.Current()
+	require.True(t, taken.ZonesOut["a"])
+	s.Apply(time.Unix(0, 0), 2, []topology.Change{{Zone: "a", Back: true}})
+	require.False(t, s.Current().ZonesOut["a"])
+	require.True(t, taken.ZonesOut["a"])
+}
