--- a/cmd/teaselbankd/site.go
+++ b/cmd/teaselbankd/site.go
@@ -5,6 +5,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"sync"
 	"syscall"
 	"time"
@@ -29,6 +30,14 @@
 // seedsRefresh is how often the settings file is read again for seeds, since it may change without a signal.
 const seedsRefresh = 5 * time.Second
 
+// Memory is dearer than processor time on such deployments, and a VM that exceeds its memory is killed.
+const (
+	// gcPercent makes the heap grow by that part of what is live before it is collected.
+	gcPercent = 40
+	// memoryShare is the part of the VM's memory that the runtime tries to stay under.
+	memoryShare = 0.7
+)
+
 // runSite runs the daemon on a deployment that the platform's settings file describes.
 func runSite(path string, signals <-chan os.Signal, stderr io.Writer) int {
 	s, err := platform.ReadSettings(path)
@@ -36,6 +45,8 @@
 		_, _ = fmt.Fprintln(stderr, "teaselbankd:", err)
 		return exitBadSettings
 	}
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	daemon := &settings.Settings{VMID: string(s.VMID), Zone: string(s.Zone), CallerListen: s.CallerListen,
 		PeerListen: s.PeerListen, OpsListen: s.ReadinessListen, LogLevel: "info", StartTimeout: siteStartTimeout,
 		DrainTimeout: s.StopBound}
