--- a/dispatch/tracker.go
+++ b/dispatch/tracker.go
@@ -52,6 +52,7 @@
 	lastReply time.Time
 	slowness  float64
 	slowAt    time.Time
+	lastRatio float64
 	failures  int
 	avoid     time.Time
 	wrong     bool
@@ -111,6 +112,8 @@
 		return
 	}
 	ratio := min(maxSlowness, max(0.2, float64(took-t.rtt)/float64(expected)))
+	// One slow reply is a pause or a large piece of work; a slow target shows in two replies in a row.
+	ratio, t.lastRatio = min(ratio, max(1, t.lastRatio)), ratio
 	t.slowness = t.faded(now) + speedGain*(ratio-t.faded(now))
 	t.slowAt = now
 }
