--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -10,7 +10,7 @@
 	maxReturnShare = 0.4
 	// hedgeShare is the share of the objective before which no request is hedged: an earlier hedge would spend the
 	// budget on requests that end in time by themselves.
-	hedgeShare = 0.2
+	hedgeShare = 0.3
 	// hedgeOverP90 is how far beyond the 90th percentile a reply is late. Higher percentiles hold the pauses that hedges
 	// are meant for.
 	hedgeOverP90 = 1.3
