Let the VMs of an isolated zone decide alike whether they are ready

Cause: each VM judged by its own few requests, so some of a cut zone's 20 VMs stayed ready for 3 s longer, and the balancer turns to other zones only if none of a zone is ready. Change: a VM is isolated if for 1.5 s neither a VM nor a target of another zone answered, and is then not ready if the targets of its own zone can't serve every route; searches that need other zones are refused at once.

--- a/forward/job.go
+++ b/forward/job.go
@@ -144,11 +144,11 @@
 
 // servable reports whether enough units have a target that is not known to be down.
 func (j *job) servable() bool {
-	now := time.Now()
+	now, isolated := time.Now(), j.s.isolated.Load()
 	n := 0
 	for i := range j.units {
 		if slices.ContainsFunc(j.set.byService[j.units[i].service], func(b *Backend) bool {
-			return j.allowed(b) && !b.Tracker.Look(now).Down
+			return j.allowed(b) && (b.local || !isolated) && !b.Tracker.Look(now).Down
 		}) {
 			n++
 		}
@@ -266,6 +266,9 @@
 // done runs on a connection's goroutine when a send ends.
 func (j *job) done(i int, a *attempt, r leafconn.Result) {
 	expected := j.usual.Median
+	if r.Reply != nil && !a.backend.local {
+		j.s.remoteReply.Store(int64(r.At.Sub(j.s.start)))
+	}
 	a.backend.Tracker.End(a.send.Started, r.At, verdict(&r), expected)
 	if r.Reply != nil && a.first && r.Reply.OK() {
 		j.est.Observe(r.At.Sub(a.send.Started) - a.backend.Tracker.Look(r.At).RTT)
--- a/forward/service.go
+++ b/forward/service.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -59,6 +60,9 @@
 	running    atomic.Int64
 	requests   atomic.Uint64
 	lacking    atomic.Uint64
+	isolated   atomic.Bool
+	// remoteReply is when a target of another zone last replied, in nanoseconds since start; 0 if never.
+	remoteReply atomic.Int64
 }
 
 // New returns a service that knows no target yet.
@@ -74,6 +78,40 @@
 // Counts returns how many requests there were, and how many of them lacked targets.
 func (s *Service) Counts() (requests, lacking uint64) { return s.requests.Load(), s.lacking.Load() }
 
+// SetIsolated tells that targets of other zones can't be reached. Requests that need them are then refused at once.
+func (s *Service) SetIsolated(isolated bool) { s.isolated.Store(isolated) }
+
+// LastRemoteReply returns when a target of another zone last replied; the zero time if none did.
+func (s *Service) LastRemoteReply() time.Time {
+	if since := s.remoteReply.Load(); since != 0 {
+		return s.start.Add(time.Duration(since))
+	}
+	return time.Time{}
+}
+
+// LocallySufficient reports whether the targets of this VM's zone can serve every route over shards.
+func (s *Service) LocallySufficient(now time.Time) bool {
+	set := s.backends.Load()
+	if set.snapshot.Table == nil {
+		return true
+	}
+	covered := map[ident.ServiceID]bool{}
+	for service, list := range set.byService {
+		covered[service] = slices.ContainsFunc(list, func(b *Backend) bool {
+			return b.local && b.Target.Leaving.IsZero() && !b.Tracker.Look(now).Down
+		})
+	}
+	return set.snapshot.Table.EachScatter(func(r *routing.Route) bool {
+		n := 0
+		for _, shard := range r.Shards {
+			if covered[shard] {
+				n++
+			}
+		}
+		return n >= r.MinShards()
+	})
+}
+
 type routeKey struct{ host, prefix string }
 
 func (s *Service) estimator(r *routing.Route) *dispatch.Estimator {
@@ -166,7 +204,7 @@
 	end := j.run(ctx)
 	sum.take(j, end)
 	s.requests.Add(1)
-	if end == endFailed {
+	if end == endFailed || end == endDeadline {
 		s.lacking.Add(1)
 	}
 	switch {
--- a/plugin/forwarding/forwarding.go
+++ b/plugin/forwarding/forwarding.go
@@ -103,15 +103,20 @@
 	ticker := time.NewTicker(maintainInterval)
 	defer ticker.Stop()
 	var last forward.VMs
-	var readiness dispatch.Readiness
 	wasReady := false
 	setReady := func(snapshot *topology.Snapshot) {
 		requests, lacking := service.Counts()
-		ready := readiness.Decide(time.Now(), requests, lacking, contacts.OtherZone()) && snapshot.Table != nil && snapshot.Count() > 0
+		now, heard := time.Now(), contacts.OtherZone()
+		if replied := service.LastRemoteReply(); replied.After(heard) {
+			heard = replied
+		}
+		isolated := dispatch.Isolated(now, heard)
+		service.SetIsolated(isolated)
+		ready := dispatch.Ready(isolated, !isolated || service.LocallySufficient(now)) && snapshot.Table != nil && snapshot.Count() > 0
 		if ready != wasReady {
 			wasReady = ready
 			logger.Info("readiness", "ready", ready, "requests", requests, "lacking", lacking, "targets", snapshot.Count(),
-				"other_zone_heard", contacts.OtherZone())
+				"isolated", isolated, "other_zone_heard", heard)
 		}
 		state.SetReady(ready)
 	}
--- a/routing/table.go
+++ b/routing/table.go
@@ -146,3 +146,15 @@
 	}
 	return r.Split[len(r.Split)-1].Service
 }
+
+// EachScatter calls f with the routes over shards until it returns false, and reports whether it never did.
+func (t *Table) EachScatter(f func(*Route) bool) bool {
+	for _, prefixes := range t.hosts {
+		for _, r := range prefixes {
+			if r.Scatter() && !f(r) {
+				return false
+			}
+		}
+	}
+	return true
+}
