Refuse requests that crash several targets, at every VM; test the daemon of a site end to end

Load pattern: a request crashes each target that runs it, and its caller sends it again under new ids to any VM. Change: VMs report targets that broke off or fell silent with a request that no target answered to the home of its fingerprint (method, host, path, body); after three targets the home tells all VMs, which answer 503.

--- /dev/null
+++ b/cmd/teaselbankd/site_test.go
@@ -0,0 +1,174 @@
+package main
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"teaselbank.example/teaselbank/platform"
+	"teaselbank.example/teaselbank/platform/platformtest"
+)
+
+// freeAddress returns an address of the loopback interface that nobody listens on.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { require.NoError(t, l.Close()) }()
+	return l.Addr().String()
+}
+
+// siteVM is a daemon in front of a stand-in platform.
+type siteVM struct {
+	t                            *testing.T
+	front, ready, control, store string
+	path                         string
+	signals                      chan os.Signal
+	ended                        chan int
+	stderr                       bytes.Buffer
+}
+
+func newSiteVM(t *testing.T, store string, name string, seeds ...string) *siteVM {
+	v := &siteVM{t: t, front: freeAddress(t), ready: freeAddress(t), control: freeAddress(t), store: store,
+		signals: make(chan os.Signal, 2), ended: make(chan int, 1), path: filepath.Join(t.TempDir(), "boot.toml")}
+	text := platformtest.Settings(platformtest.SettingsOptions{Name: name, Zone: "a", Seeds: seeds, Front: v.front,
+		Readiness: v.ready, Control: v.control, Store: store, StopSeconds: 3})
+	require.NoError(t, os.WriteFile(v.path, []byte(text), 0o600))
+	return v
+}
+
+func (v *siteVM) start() {
+	go func() { v.ended <- runSite(v.path, v.signals, &v.stderr) }()
+	v.t.Cleanup(func() { v.stop() })
+}
+
+// stop asks the daemon to stop and returns its exit code.
+func (v *siteVM) stop() int {
+	select {
+	case v.signals <- syscall.SIGTERM:
+	default:
+	}
+	code := <-v.ended
+	v.ended <- code
+	return code
+}
+
+func (v *siteVM) isReady() bool {
+	resp, err := http.Get("http://" + v.ready + platform.ReadyPath)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (v *siteVM) get(path, id string) (status int, text string) {
+	req, err := http.NewRequest(http.MethodGet, "http://"+v.front+path, nil)
+	require.NoError(v.t, err)
+	req.Host = "h.example"
+	req.Header.Set(platformtest.HeaderID, id)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	require.NoError(v.t, err)
+	return resp.StatusCode, string(data)
+}
+
+const patience = 30 * time.Second
+
+// Guards against a daemon that does not serve a deployment end to end: readiness, a request, a new configuration, a
+// target that leaves, entries that can't be read, and a stop that cuts nothing off.
+func TestSiteEndToEnd(t *testing.T) {
+	store, err := platformtest.NewStore()
+	require.NoError(t, err)
+	t.Cleanup(store.Close)
+	one, err := platformtest.NewLeaf("i-1", []byte("one"))
+	require.NoError(t, err)
+	t.Cleanup(one.Close)
+	two, err := platformtest.NewLeaf("i-2", []byte("two"))
+	require.NoError(t, err)
+	t.Cleanup(two.Close)
+	v := newSiteVM(t, store.Address, "vm-1")
+	v.start()
+	require.Eventually(t, func() bool { status, _ := v.get("/s/x", "early"); return status == http.StatusServiceUnavailable },
+		patience, 5*time.Millisecond, "no configuration: 503, not 404")
+	require.False(t, v.isReady())
+
+	store.Configure(3, "s")
+	store.RegisterBytes("bad", []byte("?"))
+	store.Register(one, "s", "a", false)
+	require.Eventually(t, v.isReady, patience, 5*time.Millisecond)
+	require.Eventually(t, func() bool { _, text := v.get("/s/x", "r1"); return text == "one" }, patience, 5*time.Millisecond)
+
+	store.Configure(9, "s", "u")
+	store.Register(two, "u", "a", false)
+	require.Eventually(t, func() bool { _, text := v.get("/u/x", "r2"); return text == "two" }, patience, 5*time.Millisecond)
+
+	three, err := platformtest.NewLeaf("i-3", []byte("three"))
+	require.NoError(t, err)
+	t.Cleanup(three.Close)
+	store.Register(three, "s", "a", false)
+	store.Register(one, "s", "a", true)
+	require.Eventually(t, func() bool { _, text := v.get("/s/x", "r3"); return text == "three" }, patience, 5*time.Millisecond)
+
+	release := make(chan struct{})
+	arrived := make(chan struct{}, 1)
+	three.Behave(func(platformtest.Arrival) platformtest.Behaviour {
+		arrived <- struct{}{}
+		<-release
+		return platformtest.Behaviour{}
+	})
+	answer := make(chan string, 1)
+	go func() { _, text := v.get("/s/x", "r4"); answer <- text }()
+	<-arrived
+	v.signals <- syscall.SIGTERM
+	require.Eventually(t, func() bool { return !v.isReady() }, patience, 5*time.Millisecond)
+	close(release)
+	require.Equal(t, "three", <-answer)
+	require.Zero(t, v.stop(), v.stderr.String())
+}
+
+// Guards against a VM that learns nothing while the store turns it away, although it reaches a peer that knows.
+func TestSiteLearnsFromPeers(t *testing.T) {
+	store, err := platformtest.NewStore()
+	require.NoError(t, err)
+	t.Cleanup(store.Close)
+	deaf, err := platformtest.NewStore()
+	require.NoError(t, err)
+	t.Cleanup(deaf.Close)
+	deaf.Fail(func(string) int { return http.StatusServiceUnavailable })
+	l, err := platformtest.NewLeaf("i-1", []byte("one"))
+	require.NoError(t, err)
+	t.Cleanup(l.Close)
+	store.Configure(3, "s")
+	store.Register(l, "s", "a", false)
+	knows := newSiteVM(t, store.Address, "vm-1")
+	knows.start()
+	require.Eventually(t, knows.isReady, patience, 5*time.Millisecond)
+	learns := newSiteVM(t, deaf.Address, "vm-2", knows.control)
+	learns.start()
+	require.Eventually(t, func() bool { _, text := learns.get("/s/x", "r1"); return text == "one" }, patience, 5*time.Millisecond)
+	store.Configure(4, "other")
+	require.Eventually(t, func() bool { status, _ := learns.get("/s/x", "r2"); return status == http.StatusNotFound }, patience, 5*time.Millisecond)
+}
+
+// Guards against a start with a settings file that can't be used, without a word on what is wrong.
+func TestSiteBadSettings(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "boot.toml")
+	require.NoError(t, os.WriteFile(path, []byte("node_name = \"x\""), 0o600))
+	var stderr bytes.Buffer
+	require.Equal(t, exitBadSettings, runSite(path, nil, &stderr))
+	require.Contains(t, stderr.String(), "listen.front")
+	require.Contains(t, stderr.String(), "platform.address")
+}
--- /dev/null
+++ b/crashguard/crashguard_test.go
@@ -0,0 +1,77 @@
+package crashguard_test
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/require"
+
+	"teaselbank.example/teaselbank/crashguard"
+	"teaselbank.example/teaselbank/gen/teaselbank/peer/v1/peerv1connect"
+	"teaselbank.example/teaselbank/ident"
+	"teaselbank.example/teaselbank/membership"
+)
+
+// Guards against a request that goes on crashing targets, one at each VM, and against requests that are refused for
+// fewer crashes or for the same target twice.
+func TestTable(t *testing.T) {
+	table, now := crashguard.NewTable(), time.Unix(0, 0)
+	require.False(t, table.Crashed("f", []ident.TargetID{"a", "b"}, now))
+	require.False(t, table.Crashed("f", []ident.TargetID{"a"}, now))
+	require.False(t, table.Refused("f", now))
+	require.True(t, table.Crashed("f", []ident.TargetID{"c"}, now))
+	require.True(t, table.Refused("f", now.Add(time.Minute)))
+	require.False(t, table.Refused("g", now))
+	require.False(t, table.Refused("f", now.Add(time.Hour)))
+	require.False(t, table.Crashed("slow", []ident.TargetID{"a", "b"}, now))
+	require.False(t, table.Crashed("slow", []ident.TargetID{"c"}, now.Add(time.Hour)), "crashes far apart are chance")
+}
+
+// Guards against a table that grows with every request that fails.
+func TestTableIsBounded(t *testing.T) {
+	table, now := crashguard.NewTable(), time.Unix(0, 0)
+	require.True(t, table.Crashed("first", []ident.TargetID{"a", "b", "c"}, now))
+	for i := range 4200 {
+		at := now.Add(time.Duration(i+1) * time.Millisecond)
+		require.True(t, table.Crashed(crashguard.Fingerprint(strconv.Itoa(i)), []ident.TargetID{"a", "b", "c"}, at))
+	}
+	require.False(t, table.Refused("first", now.Add(time.Minute)), "the oldest is forgotten")
+}
+
+type viewOf struct{ view *membership.View }
+
+func (v *viewOf) View() *membership.View { return v.view }
+
+// Guards against VMs that each see one crash and send the request on: their reports meet at its home, which tells all.
+func TestReportsMeetAtTheHome(t *testing.T) {
+	const vms = 5
+	var members []membership.Member
+	var exchanges []*crashguard.Exchange
+	views := make([]*viewOf, vms)
+	for i := range vms {
+		mux := http.NewServeMux()
+		server := httptest.NewServer(mux)
+		t.Cleanup(server.Close)
+		views[i] = &viewOf{}
+		e := crashguard.New(crashguard.NewTable(), views[i], server.Client(), log.New(io.Discard))
+		mux.Handle(peerv1connect.NewCrashServiceHandler(crashguard.Server{Exchange: e}))
+		exchanges = append(exchanges, e)
+		members = append(members, membership.Member{ID: ident.VMID("vm-" + strconv.Itoa(i)), Zone: "a",
+			Address: server.Listener.Addr().String(), State: membership.Alive})
+	}
+	for i, v := range views {
+		v.view = membership.NewView(members[i], members, 1, time.Now())
+	}
+	for i := range 3 {
+		exchanges[i].Crashed("poison", []ident.TargetID{ident.TargetID("t-" + strconv.Itoa(i))})
+	}
+	for _, e := range exchanges {
+		require.Eventually(t, func() bool { return e.Refused("poison") }, 20*time.Second, time.Millisecond)
+		require.False(t, e.Refused("other"))
+	}
+}
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"teaselbank.example/teaselbank/crashguard"
 	"teaselbank.example/teaselbank/ident"
 	"teaselbank.example/teaselbank/platform/platformtest"
 	"teaselbank.example/teaselbank/routing"
@@ -306,3 +307,55 @@
 	require.InDelta(t, requests/4, refused, requests/8)
 	require.Equal(t, requests-refused, len(free.Arrivals()))
 }
+
+// guard notes what the service reports.
+type guard struct {
+	mu      sync.Mutex
+	crashes map[crashguard.Fingerprint][]ident.TargetID
+	refuse  bool
+}
+
+func (g *guard) Refused(crashguard.Fingerprint) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.refuse
+}
+
+func (g *guard) Crashed(f crashguard.Fingerprint, targets []ident.TargetID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.crashes[f] = append(g.crashes[f], targets...)
+}
+
+// Guards against a crashing request that is not recognised because its attempts have new ids, and against reports of
+// requests that some target answered.
+func TestCrashesAreReported(t *testing.T) {
+	w := newWorld(t, testExtra)
+	g := &guard{crashes: map[crashguard.Fingerprint][]ident.TargetID{}}
+	w.service.Guard = g
+	first, second := w.leaf("svc", "a", nil), w.leaf("svc", "b", nil)
+	crash := func(a platformtest.Arrival) platformtest.Behaviour {
+		if a.Target == "/svc/poison" {
+			return platformtest.Behaviour{Raw: func(net.Conn, platformtest.Arrival) {}}
+		}
+		return platformtest.Behaviour{}
+	}
+	first.Behave(crash)
+	second.Behave(crash)
+	w.routes(single("svc"))
+	_ = body(t, w.get("/svc/honest", "r0", time.Second))
+	require.Empty(t, g.crashes)
+	_ = body(t, w.get("/svc/poison", "r1", time.Second))
+	_ = body(t, w.get("/svc/poison", "r2", time.Second))
+	require.Len(t, g.crashes, 1)
+	for _, targets := range g.crashes {
+		require.Contains(t, targets, ident.TargetID(first.ID))
+		require.Contains(t, targets, ident.TargetID(second.ID))
+	}
+	arrivals := len(first.Arrivals()) + len(second.Arrivals())
+	g.refuse = true
+	resp := w.get("/svc/poison", "r3", time.Second)
+	_ = body(t, resp)
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.Equal(t, arrivals, len(first.Arrivals())+len(second.Arrivals()))
+}
--- a/forward/job.go
+++ b/forward/job.go
@@ -58,7 +58,9 @@
 	tried   []*Backend
 	// refused are the tried backends that refused without running; they are asked again if no other is left.
 	refused []*Backend
-	sends   int
+	// broken are the targets whose connections broke before an answer.
+	broken []ident.TargetID
+	sends  int
 	// runs counts the sends that may have run.
 	runs    int
 	open    []*attempt
@@ -332,6 +334,7 @@
 		j.again(r.unit, now, true, false)
 	default:
 		u.lastErr = r.result.Err
+		u.broken = append(u.broken, r.attempt.backend.Target.ID)
 		j.again(r.unit, now, j.route.Idempotent, true)
 	}
 }
--- a/forward/service.go
+++ b/forward/service.go
@@ -40,6 +40,8 @@
 	Protocol Protocol
 	Dialer   leafconn.Dialer
 	Extra    site.ExtraBudget
+	// Guard may be nil.
+	Guard CrashGuard
 	// Report is told of each finished request; it must not block.
 	Report func(*Summary)
 	// Away reports whether callers should open other connections from now on, which reach other VMs.
@@ -176,6 +178,7 @@
 const (
 	retryUnconfigured = 300 * time.Millisecond
 	retryNoTarget     = 250 * time.Millisecond
+	retryQuarantined  = time.Minute
 	retrySpread       = 0.5
 )
 
@@ -200,9 +203,16 @@
 }
 
 func (s *Service) serve(ctx context.Context, w http.ResponseWriter, set *backends, route *routing.Route, req *leafconn.Request, sum *Summary) {
+	if s.Guard != nil && s.Guard.Refused(fingerprint(req)) {
+		sum.refuse(w, http.StatusServiceUnavailable, "the request crashed several targets", retryQuarantined)
+		return
+	}
 	j := s.newJob(set, route, req, sum.Arrived)
 	end := j.run(ctx)
 	sum.take(j, end)
+	if end == endFailed || end == endDeadline {
+		s.noteCrashes(j)
+	}
 	s.requests.Add(1)
 	if end == endFailed || end == endDeadline {
 		s.lacking.Add(1)
--- a/gen/teaselbank/peer/v1/peerv1connect/peer.connect.go
+++ b/gen/teaselbank/peer/v1/peerv1connect/peer.connect.go
@@ -33,6 +33,8 @@
 	GateServiceName = "teaselbank.peer.v1.GateService"
 	// FeedServiceName is the fully-qualified name of the FeedService service.
 	FeedServiceName = "teaselbank.peer.v1.FeedService"
+	// CrashServiceName is the fully-qualified name of the CrashService service.
+	CrashServiceName = "teaselbank.peer.v1.CrashService"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -68,6 +70,10 @@
 	FeedServiceChangesProcedure = "/teaselbank.peer.v1.FeedService/Changes"
 	// FeedServiceTellProcedure is the fully-qualified name of the FeedService's Tell RPC.
 	FeedServiceTellProcedure = "/teaselbank.peer.v1.FeedService/Tell"
+	// CrashServiceReportProcedure is the fully-qualified name of the CrashService's Report RPC.
+	CrashServiceReportProcedure = "/teaselbank.peer.v1.CrashService/Report"
+	// CrashServiceRefuseProcedure is the fully-qualified name of the CrashService's Refuse RPC.
+	CrashServiceRefuseProcedure = "/teaselbank.peer.v1.CrashService/Refuse"
 )
 
 // RelayServiceClient is a client for the teaselbank.peer.v1.RelayService service.
@@ -620,3 +626,103 @@
 func (UnimplementedFeedServiceHandler) Tell(context.Context, *connect.Request[v1.TellRequest]) (*connect.Response[v1.TellResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("teaselbank.peer.v1.FeedService.Tell is not implemented"))
 }
+
+// CrashServiceClient is a client for the teaselbank.peer.v1.CrashService service.
+type CrashServiceClient interface {
+	// Report tells the home of a fingerprint which targets failed while they had the request.
+	Report(context.Context, *connect.Request[v1.CrashReport]) (*connect.Response[v1.CrashReportResponse], error)
+	// Refuse tells a VM of fingerprints that are not to be sent any more.
+	Refuse(context.Context, *connect.Request[v1.QuarantineRequest]) (*connect.Response[v1.QuarantineResponse], error)
+}
+
+// NewCrashServiceClient constructs a client for the teaselbank.peer.v1.CrashService service. By
+// default, it uses the Connect protocol with the binary Protobuf Codec, asks for gzipped responses,
+// and sends uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the
+// connect.WithGRPC() or connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewCrashServiceClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) CrashServiceClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	crashServiceMethods := v1.File_teaselbank_peer_v1_peer_proto.Services().ByName("CrashService").Methods()
+	return &crashServiceClient{
+		report: connect.NewClient[v1.CrashReport, v1.CrashReportResponse](
+			httpClient,
+			baseURL+CrashServiceReportProcedure,
+			connect.WithSchema(crashServiceMethods.ByName("Report")),
+			connect.WithClientOptions(opts...),
+		),
+		refuse: connect.NewClient[v1.QuarantineRequest, v1.QuarantineResponse](
+			httpClient,
+			baseURL+CrashServiceRefuseProcedure,
+			connect.WithSchema(crashServiceMethods.ByName("Refuse")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// crashServiceClient implements CrashServiceClient.
+type crashServiceClient struct {
+	report *connect.Client[v1.CrashReport, v1.CrashReportResponse]
+	refuse *connect.Client[v1.QuarantineRequest, v1.QuarantineResponse]
+}
+
+// Report calls teaselbank.peer.v1.CrashService.Report.
+func (c *crashServiceClient) Report(ctx context.Context, req *connect.Request[v1.CrashReport]) (*connect.Response[v1.CrashReportResponse], error) {
+	return c.report.CallUnary(ctx, req)
+}
+
+// Refuse calls teaselbank.peer.v1.CrashService.Refuse.
+func (c *crashServiceClient) Refuse(ctx context.Context, req *connect.Request[v1.QuarantineRequest]) (*connect.Response[v1.QuarantineResponse], error) {
+	return c.refuse.CallUnary(ctx, req)
+}
+
+// CrashServiceHandler is an implementation of the teaselbank.peer.v1.CrashService service.
+type CrashServiceHandler interface {
+	// Report tells the home of a fingerprint which targets failed while they had the request.
+	Report(context.Context, *connect.Request[v1.CrashReport]) (*connect.Response[v1.CrashReportResponse], error)
+	// Refuse tells a VM of fingerprints that are not to be sent any more.
+	Refuse(context.Context, *connect.Request[v1.QuarantineRequest]) (*connect.Response[v1.QuarantineResponse], error)
+}
+
+// NewCrashServiceHandler builds an HTTP handler from the service implementation. It returns the
+// path on which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewCrashServiceHandler(svc CrashServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	crashServiceMethods := v1.File_teaselbank_peer_v1_peer_proto.Services().ByName("CrashService").Methods()
+	crashServiceReportHandler := connect.NewUnaryHandler(
+		CrashServiceReportProcedure,
+		svc.Report,
+		connect.WithSchema(crashServiceMethods.ByName("Report")),
+		connect.WithHandlerOptions(opts...),
+	)
+	crashServiceRefuseHandler := connect.NewUnaryHandler(
+		CrashServiceRefuseProcedure,
+		svc.Refuse,
+		connect.WithSchema(crashServiceMethods.ByName("Refuse")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/teaselbank.peer.v1.CrashService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case CrashServiceReportProcedure:
+			crashServiceReportHandler.ServeHTTP(w, r)
+		case CrashServiceRefuseProcedure:
+			crashServiceRefuseHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedCrashServiceHandler returns CodeUnimplemented from all methods.
+type UnimplementedCrashServiceHandler struct{}
+
+func (UnimplementedCrashServiceHandler) Report(context.Context, *connect.Request[v1.CrashReport]) (*connect.Response[v1.CrashReportResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("teaselbank.peer.v1.CrashService.Report is not implemented"))
+}
+
+func (UnimplementedCrashServiceHandler) Refuse(context.Context, *connect.Request[v1.QuarantineRequest]) (*connect.Response[v1.QuarantineResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("teaselbank.peer.v1.CrashService.Refuse is not implemented"))
+}
--- a/kernel/order.go
+++ b/kernel/order.go
@@ -28,6 +28,7 @@
 	"metrics",
 	"membership",
 	"topology",
+	"crashguard",
 	"forwarding",
 	"peerapi",
 	"siteapi",
--- a/plugin/forwarding/forwarding.go
+++ b/plugin/forwarding/forwarding.go
@@ -64,9 +64,10 @@
 	}
 }
 
-func newService(s *site.Settings, protocol forward.Protocol, dialer leafconn.Dialer, decisions *decisionlog.Log, state *lifecycle.State) *forward.Service {
+func newService(s *site.Settings, protocol forward.Protocol, dialer leafconn.Dialer, decisions *decisionlog.Log, state *lifecycle.State,
+	guard forward.CrashGuard) *forward.Service {
 	return forward.New(forward.Options{VMID: s.VMID, Zone: s.Zone, Regions: s.Regions, Protocol: protocol, Dialer: dialer,
-		Extra: s.Extra, Report: reporter(decisions), Away: func() bool { return !state.Ready() }})
+		Extra: s.Extra, Guard: guard, Report: reporter(decisions), Away: func() bool { return !state.Ready() }})
 }
 
 // follow keeps the service's backends up to date and makes the VM ready once requests can be served.
