--- a/leafconn/conn.go
+++ b/leafconn/conn.go
@@ -137,7 +137,7 @@
 func (c *conn) read(s *Send) (reply *Reply, reusable bool, err error) {
 	reusable = true
 	for {
-		resp, err := http.ReadResponse(c.br, &http.Request{Method: s.Request.Method})
+		resp, err := http.ReadResponse(c.br, &http.Request{Method: s.Request.Method}) //nolint:bodyclose // readBody closes it
 		if err != nil {
 			return nil, false, fmt.Errorf("%w: %w", ErrForeign, err)
 		}
--- a/plugin/forwarding/forwarding.go
+++ b/plugin/forwarding/forwarding.go
@@ -181,17 +181,12 @@
 		if sum.Status >= 400 || sum.Left || sum.Late || sum.Covered < sum.Shards {
 			event = eventUnserved
 		}
-		every := 1
-		if event == eventServed {
-			if rand.IntN(servedSample) != 0 {
-				return
-			}
-			every = servedSample
-		} else {
-			var ok bool
-			if every, ok = decisions.Admit(event); !ok {
-				return
-			}
+		every, ok := servedSample, rand.IntN(servedSample) == 0
+		if event == eventUnserved {
+			every, ok = decisions.Admit(event)
+		}
+		if !ok {
+			return
 		}
 		fields := []any{"id", sum.ID, "route", sum.Route, "status", sum.Status, "ms", sum.Took.Milliseconds(), "version", sum.Version,
 			"revision", sum.Revision, "covered", sum.Covered, "shards", sum.Shards, "extras", sum.Extras, "every", every}
