Explain a request from log lines; serve latencies and connection counts as metrics; log to standard output

teaselbank explain-request ID reads the lines of any VMs and prints those of the request and those that explain them. Latency histograms by route and status, extra sends, missing shards and connections are served at the metrics address that the deploy file names.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -110,6 +110,7 @@
 		{parser.Command, "status", "show the version in force, peers and targets on VMs", &status{env: e}},
 		{parser.Command, "explain", "say why a target or zone gets no new work, as one VM sees it", &explainWork{env: e}},
 		{parser.Command, "search", "send one search to a VM", &search{env: e}},
+		{parser.Command, "explain-request", "tell from log lines what became of a request", &explainRequest{env: e}},
 	} {
 		if _, err := c.parent.AddCommand(c.name, c.short, "", c.data); err != nil {
 			return err
--- a/plugin/forwarding/forwarding.go
+++ b/plugin/forwarding/forwarding.go
@@ -39,7 +39,7 @@
 
 func init() {
 	kernel.Register(kernel.Plugin{Name: "forwarding", Options: func() fx.Option {
-		return fx.Options(fx.Provide(newService), fx.Invoke(follow))
+		return fx.Options(fx.Provide(newService, newInstruments), fx.Invoke(follow, registerConnections))
 	}})
 }
 
@@ -65,9 +65,9 @@
 }
 
 func newService(s *site.Settings, protocol forward.Protocol, dialer leafconn.Dialer, decisions *decisionlog.Log, state *lifecycle.State,
-	guard forward.CrashGuard) *forward.Service {
+	guard forward.CrashGuard, counted *instruments) *forward.Service {
 	return forward.New(forward.Options{VMID: s.VMID, Zone: s.Zone, Regions: s.Regions, Protocol: protocol, Dialer: dialer,
-		Extra: s.Extra, Guard: guard, Report: reporter(decisions), Away: func() bool { return !state.Ready() }})
+		Extra: s.Extra, Guard: guard, Report: reporter(decisions, counted), Away: func() bool { return !state.Ready() }})
 }
 
 // follow keeps the service's backends up to date and makes the VM ready once requests can be served.
@@ -175,8 +175,9 @@
 	eventUnserved = "request_unserved"
 )
 
-func reporter(decisions *decisionlog.Log) func(*forward.Summary) {
+func reporter(decisions *decisionlog.Log, counted *instruments) func(*forward.Summary) {
 	return func(sum *forward.Summary) {
+		counted.observe(sum)
 		event := eventServed
 		if sum.Status >= 400 || sum.Left || sum.Late || sum.Covered < sum.Shards {
 			event = eventUnserved
--- /dev/null
+++ b/plugin/forwarding/metrics.go
@@ -0,0 +1,54 @@
+package forwarding
+
+import (
+	"context"
+	"errors"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"teaselbank.example/teaselbank/forward"
+	"teaselbank.example/teaselbank/leafconn"
+	"teaselbank.example/teaselbank/observe"
+)
+
+// latencyBounds are the upper bounds of the buckets of request latencies, in milliseconds.
+var latencyBounds = []float64{5, 10, 20, 30, 50, 75, 100, 150, 200, 300, 500, 800, 1200, 2000, 5000}
+
+// instruments count finished requests.
+type instruments struct {
+	latency metric.Float64Histogram
+	extras  metric.Int64Counter
+	missing metric.Int64Counter
+}
+
+func newInstruments(meter metric.Meter) (*instruments, error) {
+	latency, errLatency := meter.Float64Histogram("request_latency_milliseconds", metric.WithDescription("time of a request in this VM, by route and status"),
+		metric.WithExplicitBucketBoundaries(latencyBounds...))
+	extras, errExtras := meter.Int64Counter("request_extra_sends", metric.WithDescription("sends beyond the first of each request and shard, by route"))
+	missing, errMissing := meter.Int64Counter("request_missing_shards", metric.WithDescription("shards that answers of status 200 left out, by route"))
+	return &instruments{latency, extras, missing}, errors.Join(errLatency, errExtras, errMissing)
+}
+
+func (i *instruments) observe(sum *forward.Summary) {
+	ctx := context.Background()
+	route := metric.WithAttributes(attribute.String("route", sum.Route))
+	i.latency.Record(ctx, float64(sum.Took.Microseconds())/1000, metric.WithAttributes(attribute.String("route", sum.Route), attribute.Int("status", sum.Status)))
+	if sum.Extras > 0 {
+		i.extras.Add(ctx, int64(sum.Extras), route)
+	}
+	if lost := sum.Shards - sum.Covered; sum.Status == 200 && lost > 0 && sum.Shards > 1 {
+		i.missing.Add(ctx, int64(lost), route)
+	}
+}
+
+func registerConnections(service *forward.Service, meter metric.Meter) error {
+	counters := []observe.Value{{Name: "target_connections_opened", Description: "connections opened to targets",
+		Read: observe.Uint64(service.Connections.Opened)}}
+	for _, why := range leafconn.ClosedReasons() {
+		counters = append(counters, observe.Value{Name: "target_connections_closed_" + why.String(), Description: "connections to targets that ended: " + why.String(),
+			Read: observe.Uint64(func() uint64 { return service.Connections.Closed(why) })})
+	}
+	return errors.Join(observe.Counters(meter, counters...), observe.Gauges(meter, observe.Value{Name: "requests_running",
+		Description: "callers' requests that run", Read: service.Running}))
+}
--- a/plugin/logging/logging.go
+++ b/plugin/logging/logging.go
@@ -35,7 +35,7 @@
 	if err != nil {
 		return nil, err
 	}
-	logger := log.NewWithOptions(os.Stderr, log.Options{
+	logger := log.NewWithOptions(os.Stdout, log.Options{
 		Formatter: log.LogfmtFormatter, ReportTimestamp: true, Level: level, TimeFormat: "2006-01-02T15:04:05.000Z07:00",
 	})
 	return logger.With("vm", s.VMID, "zone", s.Zone), nil
--- a/plugin/siteapi/siteapi.go
+++ b/plugin/siteapi/siteapi.go
@@ -15,6 +15,7 @@
 	"teaselbank.example/teaselbank/lifecycle"
 	"teaselbank.example/teaselbank/plugin/peerapi"
 	"teaselbank.example/teaselbank/settings"
+	"teaselbank.example/teaselbank/site"
 )
 
 const headerTimeout = 2 * time.Second
@@ -26,9 +27,13 @@
 	kernel.Register(kernel.Plugin{Name: "siteapi", Options: func() fx.Option { return fx.Invoke(serve) }})
 }
 
-func serve(lc fx.Lifecycle, s *settings.Settings, path ReadyPath, state *lifecycle.State, registry *prometheus.Registry, logger *log.Logger) {
+func serve(lc fx.Lifecycle, s *settings.Settings, m *site.Settings, path ReadyPath, state *lifecycle.State, registry *prometheus.Registry, logger *log.Logger) {
 	server := &http.Server{Handler: handler(path, state, registry), ReadHeaderTimeout: headerTimeout}
 	peerapi.Listen(lc, server, s.OpsListen, "ops", logger)
+	if m.MetricsListen != "" {
+		metrics := &http.Server{Handler: handler(path, state, registry), ReadHeaderTimeout: headerTimeout}
+		peerapi.Listen(lc, metrics, m.MetricsListen, "metrics", logger)
+	}
 }
 
 func handler(path ReadyPath, state *lifecycle.State, registry *prometheus.Registry) http.Handler {
--- a/site/site.go
+++ b/site/site.go
@@ -21,6 +21,8 @@
 	CallerListen    string
 	PeerListen      string
 	ReadinessListen string
+	// MetricsListen is empty if metrics are only served beside readiness.
+	MetricsListen string
 	// Source is the IP address and port of the store.
 	Source string
 
