--- a/feed/roles.go
+++ b/feed/roles.go
@@ -15,8 +15,11 @@
 	watchersPerZone = 1
 	// tellFanout is how many VMs each VM tells.
 	tellFanout = 4
-	// contactTimeout is how long no VM may have been in touch with the source before every VM follows it by itself.
+	// contactTimeout is how long no VM may have been in touch with the source before others follow it too: the next
+	// VM of the ranking at once, each further one takeoverStep later, and all after maxTakeover.
 	contactTimeout = 2500 * time.Millisecond
+	takeoverStep   = 300 * time.Millisecond
+	maxTakeover    = 2500 * time.Millisecond
 	// takeoverTerm is how long a VM that took over goes on following.
 	takeoverTerm = 8 * time.Second
 	// rankName makes this choice of VMs independent of other choices by rank.
@@ -43,12 +46,13 @@
 
 // Watching reports whether this VM follows the source. heard is when another VM was last in touch with it.
 func (r *Roles) Watching(view *membership.View, heard, now time.Time) bool {
-	if _, at := position(view); at < watchersPerZone {
+	_, at := position(view)
+	if at < watchersPerZone {
 		return true
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if now.Sub(heard) > contactTimeout {
+	if now.Sub(heard) > contactTimeout+min(maxTakeover, time.Duration(at-watchersPerZone)*takeoverStep) {
 		r.until = now.Add(takeoverTerm)
 	}
 	return now.Before(r.until)
