Bound what a fleet sends to a cold target

Load pattern: a target that starts, or a zone that returns, and that all VMs learn of at once. Each VM sends its share of 0.8 x the bound in a second; with fewer requests than VMs, those that rank first for the target send one each (rapid over 1 to 80 VMs).

--- /dev/null
+++ b/dispatch/cold_test.go
@@ -0,0 +1,42 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"teaselbank.example/teaselbank/dispatch"
+)
+
+// Guards against a cold target that gets more from all VMs together than it bears, and against one that gets nothing
+// although it bears some.
+func TestReplayFleetMeetsColdTarget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		vms := rapid.IntRange(1, 80).Draw(t, "vms")
+		rate := rapid.Float64Range(0, 40).Draw(t, "rate")
+		bound := rate*1.5 + 5
+		gates := make([]dispatch.ColdGate, vms)
+		var sent []time.Time
+		now := time.Unix(0, 0)
+		for range rapid.IntRange(1, 400).Draw(t, "requests") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 30).Draw(t, "gap")) * time.Millisecond)
+			vm := rapid.IntRange(0, vms-1).Draw(t, "vm")
+			if gates[vm].Open(now, dispatch.ColdAllowance(bound, vms, vm)) {
+				gates[vm].Note(now)
+				sent = append(sent, now)
+			}
+		}
+		for _, end := range sent {
+			n := 0
+			for _, at := range sent {
+				if !at.After(end) && end.Sub(at) < time.Second {
+					n++
+				}
+			}
+			require.LessOrEqual(t, float64(n), bound)
+		}
+		require.Positive(t, dispatch.ColdAllowance(bound, vms, 0))
+	})
+}
--- a/forward/backends.go
+++ b/forward/backends.go
@@ -17,9 +17,12 @@
 	Target  *topology.Target
 	Pool    *leafconn.Pool
 	Tracker *dispatch.Tracker
-	local   bool
-	own     bool
-	sharers int
+	cold    *dispatch.ColdGate
+	// coldAllowance is how many requests a second this VM may send while the target is cold; negative for any number.
+	coldAllowance int
+	local         bool
+	own           bool
+	sharers       int
 }
 
 // VMs is what this VM knows of its fleet.
@@ -27,8 +30,8 @@
 	// All and InZone are upper bounds of the VMs that run, in all zones and in each.
 	All    int
 	InZone map[ident.Zone]int
-	// Peers are the ids of the VMs of this zone, this VM among them.
-	Peers []ident.VMID
+	// Peers are the ids of the VMs of this zone, Members those of all zones, this VM among them.
+	Peers, Members []ident.VMID
 }
 
 // backends is an immutable set of backends for one snapshot.
@@ -73,36 +76,48 @@
 	b := &Backend{Target: t, local: t.Zone == s.Zone, sharers: max(1, next.fleet.InZone[t.Zone])}
 	for _, known := range old.byService[t.Service] {
 		if known.Target.SameProcess(t) {
-			b.Pool, b.Tracker = known.Pool, known.Tracker
+			b.Pool, b.Tracker, b.cold = known.Pool, known.Tracker, known.cold
 		}
 	}
 	share := dispatch.ConnectionShare(next.snapshot.Table.Services[t.Service].MaxConnections,
 		dispatch.Fleet{All: next.fleet.All, InZone: next.fleet.InZone[t.Zone]}, b.local)
 	if b.Pool == nil {
 		tracker := dispatch.NewTracker()
-		b.Tracker = tracker
+		b.Tracker, b.cold = tracker, new(dispatch.ColdGate)
 		b.Pool = leafconn.NewPool(t.ID, t.Address, s.Protocol, s.Dialer, share, &s.Connections, func(took time.Duration, err error) {
 			tracker.Dialed(time.Now(), took, err)
 		})
 	}
 	b.Pool.SetLimit(share)
+	b.coldAllowance = -1
+	if rate := next.snapshot.Table.Services[t.Service].ColdRate; rate > 0 {
+		b.coldAllowance = dispatch.ColdAllowance(rate*s.Cold.Factor+s.Cold.Slack, next.fleet.All, rank(s.VMID, next.fleet.Members, t.ID))
+	}
 	if b.local && len(next.snapshot.Targets[t.Service]) > len(next.fleet.Peers) {
-		b.own = ranksFirst(s.VMID, next.fleet.Peers, t.ID)
+		b.own = rank(s.VMID, next.fleet.Peers, t.ID) == 0
 	} else if b.local {
 		b.own = len(next.fleet.Peers) <= 1
 	}
 	return b
 }
 
-// ranksFirst reports whether this VM has the greatest rendezvous hash for the target.
-func ranksFirst(self ident.VMID, peers []ident.VMID, target ident.TargetID) bool {
-	mine := xxhash.Sum64String(string(self) + "\x00" + string(target))
-	for _, p := range peers {
-		if p != self && xxhash.Sum64String(string(p)+"\x00"+string(target)) > mine {
-			return false
+// rank returns this VM's place among the VMs by rendezvous hashing for the target.
+func rank(self ident.VMID, vms []ident.VMID, target ident.TargetID) int {
+	hash := func(id ident.VMID) uint64 { return xxhash.Sum64String(string(id) + "\x00" + string(target)) }
+	place, mine := 0, hash(self)
+	for _, id := range vms {
+		if id != self && hash(id) > mine {
+			place++
 		}
 	}
-	return true
+	return place
+}
+
+// isCold reports whether the target is cold now, and mayTake whether this VM may send it one more request.
+func (b *Backend) isCold(now time.Time) bool { return now.Before(b.Target.ColdUntil) }
+
+func (b *Backend) mayTake(now time.Time) bool {
+	return b.coldAllowance < 0 || !b.isCold(now) || b.cold.Open(now, b.coldAllowance)
 }
 
 // Maintain closes idle connections and opens those that are likely to be needed.
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -359,3 +359,27 @@
 	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
 	require.Equal(t, arrivals, len(first.Arrivals())+len(second.Arrivals()))
 }
+
+// Guards against requests that a cold target does not bear, also when it is the only one.
+func TestColdTargetIsSpared(t *testing.T) {
+	w := newWorld(t, testExtra)
+	l := w.leaf("svc", "a", nil)
+	w.routes(single("svc"))
+	cold := *w.snapshot.Targets["svc"][0]
+	cold.ColdUntil = time.Now().Add(time.Hour)
+	w.snapshot = &topology.Snapshot{Targets: map[ident.ServiceID][]*topology.Target{"svc": {&cold}}, ZonesOut: w.snapshot.ZonesOut,
+		Table: routing.NewTable(2, []*routing.Route{single("svc")}, map[ident.ServiceID]routing.Service{"svc": {ID: "svc", ColdRate: 2}}, routing.Limits{})}
+	w.publish()
+	began, refused := time.Now(), 0
+	for i := range 20 {
+		resp := w.get("/svc/x", fmt.Sprint(i), time.Second)
+		_ = body(t, resp)
+		if resp.StatusCode == http.StatusServiceUnavailable {
+			refused++
+		}
+	}
+	require.Equal(t, 20, refused+len(l.Arrivals()))
+	seconds := int(time.Since(began)/time.Second) + 1
+	require.LessOrEqual(t, len(l.Arrivals()), 4*seconds, "2 a second x 1.5 + 1")
+	require.NotEmpty(t, l.Arrivals())
+}
--- a/forward/job.go
+++ b/forward/job.go
@@ -229,6 +229,9 @@
 	a.send = &leafconn.Send{Request: j.req, Done: func(r leafconn.Result) { j.done(i, a, r) }}
 	u.tried = append(u.tried, b)
 	u.sends++
+	if b.isCold(now) {
+		b.cold.Note(now)
+	}
 	b.Tracker.Begin(now)
 	u.open = append(u.open, a)
 	u.runs++
@@ -250,8 +253,8 @@
 	candidates := make([]dispatch.Candidate, len(list))
 	for k, b := range list {
 		candidates[k] = dispatch.Candidate{Load: b.Tracker.Look(now), Local: b.local, Own: b.own, Sharers: b.sharers,
-			Slots: b.Target.Slots, Cold: now.Before(b.Target.ColdUntil), Leaving: !b.Target.Leaving.IsZero(), Room: b.Pool.Free(),
-			Excluded: !j.allowed(b) || slices.Contains(excluded, b)}
+			Slots: b.Target.Slots, Cold: b.isCold(now), Leaving: !b.Target.Leaving.IsZero(), Room: b.Pool.Free(),
+			Excluded: !j.allowed(b) || !b.mayTake(now) || slices.Contains(excluded, b)}
 	}
 	return candidates, dispatch.Choose(candidates, j.usual.Median, rand.IntN(len(list)))
 }
--- a/forward/service.go
+++ b/forward/service.go
@@ -40,6 +40,7 @@
 	Protocol Protocol
 	Dialer   leafconn.Dialer
 	Extra    site.ExtraBudget
+	Cold     site.ColdBound
 	// Guard may be nil.
 	Guard CrashGuard
 	// Report is told of each finished request; it must not block.
--- a/forward/world_test.go
+++ b/forward/world_test.go
@@ -37,9 +37,10 @@
 var testExtra = site.ExtraBudget{Ratio: 0.2, Window: 10 * time.Second, Slack: 1000}
 
 func newWorld(t testing.TB, extra site.ExtraBudget) *world {
-	w := &world{t: t, leafs: map[string]*platformtest.Leaf{}, fleet: forward.VMs{All: 1, InZone: map[ident.Zone]int{"a": 1}, Peers: []ident.VMID{"vm-a"}},
+	w := &world{t: t, leafs: map[string]*platformtest.Leaf{}, fleet: forward.VMs{All: 1, InZone: map[ident.Zone]int{"a": 1}, Peers: []ident.VMID{"vm-a"}, Members: []ident.VMID{"vm-a"}},
 		snapshot: &topology.Snapshot{Targets: map[ident.ServiceID][]*topology.Target{}, ZonesOut: map[ident.Zone]bool{}}}
 	w.service = forward.New(forward.Options{VMID: "vm-a", Zone: "a", Protocol: platform.Wire{}, Dialer: &net.Dialer{}, Extra: extra,
+		Cold: site.ColdBound{Factor: 1.5, Slack: 1},
 		Report: func(s *forward.Summary) {
 			w.mu.Lock()
 			defer w.mu.Unlock()
--- a/plugin/callerfront/callerfront.go
+++ b/plugin/callerfront/callerfront.go
@@ -16,6 +16,7 @@
 	"teaselbank.example/teaselbank/membership"
 	"teaselbank.example/teaselbank/site"
 	"teaselbank.example/teaselbank/topology"
+	"teaselbank.example/teaselbank/version"
 )
 
 // Limits of callers' connections until the operator's are known.
@@ -61,6 +62,8 @@
 				return fmt.Errorf("caller listener: %w", err)
 			}
 			p.Logger.Info("listening", "api", "callers", "address", l.Addr())
+			p.Logger.Info("started", "version", version.Version, "incarnation", p.Viewer.View().Self.Incarnation, "stop_bound", p.Settings.StopBound,
+				"memory_bytes", p.Settings.MemoryBytes, "seeds", len(p.Settings.Seeds))
 			p.Topology.OnChange(func(s *topology.Snapshot) { f.use(limitsOf(s)) })
 			go f.accept(l)
 			return nil
--- a/plugin/forwarding/forwarding.go
+++ b/plugin/forwarding/forwarding.go
@@ -67,7 +67,7 @@
 func newService(s *site.Settings, protocol forward.Protocol, dialer leafconn.Dialer, decisions *decisionlog.Log, state *lifecycle.State,
 	guard forward.CrashGuard, counted *instruments) *forward.Service {
 	return forward.New(forward.Options{VMID: s.VMID, Zone: s.Zone, Regions: s.Regions, Protocol: protocol, Dialer: dialer,
-		Extra: s.Extra, Guard: guard, Report: reporter(decisions, counted), Away: func() bool { return !state.Ready() }})
+		Extra: s.Extra, Cold: s.Cold, Guard: guard, Report: reporter(decisions, counted), Away: func() bool { return !state.Ready() }})
 }
 
 // follow keeps the service's backends up to date and makes the VM ready once requests can be served.
@@ -144,7 +144,7 @@
 }
 
 func same(a, b forward.VMs) bool {
-	return a.All == b.All && maps.Equal(a.InZone, b.InZone) && slices.Equal(a.Peers, b.Peers)
+	return a.All == b.All && maps.Equal(a.InZone, b.InZone) && slices.Equal(a.Members, b.Members)
 }
 
 // count returns upper bounds of the VMs that share the targets.
@@ -156,6 +156,9 @@
 		}
 		fleet.All++
 		fleet.InZone[m.Zone]++
+		if m.Usable() {
+			fleet.Members = append(fleet.Members, m.ID)
+		}
 		if m.Zone == zone && m.Usable() {
 			fleet.Peers = append(fleet.Peers, m.ID)
 		}
