Refuse requests on kept connections before a stopping VM closes them

The server closes connections that it holds for idle, which includes one whose request it is just reading; a lost packet had delayed the request. Change: requests are taken for 0.4 of the time to stop (2.4 s of 6, below the 3 s after which a cut request counts); then the listener closes and requests on kept connections get 503 and a close; idle connections are closed only 0.7 s before the end, and the process ends as soon as no connection is left.

--- a/cmd/teaselbankd/site_test.go
+++ b/cmd/teaselbankd/site_test.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"bufio"
 	"bytes"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -36,11 +38,11 @@
 	stderr                       bytes.Buffer
 }
 
-func newSiteVM(t *testing.T, store string, name string, seeds ...string) *siteVM {
+func newSiteVM(t *testing.T, store string, name string, stopSeconds int, seeds ...string) *siteVM {
 	v := &siteVM{t: t, front: freeAddress(t), ready: freeAddress(t), control: freeAddress(t), store: store,
 		signals: make(chan os.Signal, 2), ended: make(chan int, 1), path: filepath.Join(t.TempDir(), "boot.toml")}
 	text := platformtest.Settings(platformtest.SettingsOptions{Name: name, Zone: "a", Seeds: seeds, Front: v.front,
-		Readiness: v.ready, Control: v.control, Store: store, StopSeconds: 3})
+		Readiness: v.ready, Control: v.control, Store: store, StopSeconds: stopSeconds})
 	require.NoError(t, os.WriteFile(v.path, []byte(text), 0o600))
 	return v
 }
@@ -99,7 +101,7 @@
 	two, err := platformtest.NewLeaf("i-2", []byte("two"))
 	require.NoError(t, err)
 	t.Cleanup(two.Close)
-	v := newSiteVM(t, store.Address, "vm-1")
+	v := newSiteVM(t, store.Address, "vm-1", 3)
 	v.start()
 	require.Eventually(t, func() bool { status, _ := v.get("/s/x", "early"); return status == http.StatusServiceUnavailable },
 		patience, 5*time.Millisecond, "no configuration: 503, not 404")
@@ -139,6 +141,48 @@
 	require.Zero(t, v.stop(), v.stderr.String())
 }
 
+// Guards against a stop that closes a kept connection just as its caller sends a request: after new connections are no
+// longer taken, such a request is answered "not run", and the answer closes the connection.
+func TestSiteStopRefusesOnKeptConnections(t *testing.T) {
+	store, err := platformtest.NewStore()
+	require.NoError(t, err)
+	t.Cleanup(store.Close)
+	l, err := platformtest.NewLeaf("i-1", []byte("one"))
+	require.NoError(t, err)
+	t.Cleanup(l.Close)
+	store.Configure(3, "s")
+	store.Register(l, "s", "a", false)
+	v := newSiteVM(t, store.Address, "vm-1", 10)
+	v.start()
+	require.Eventually(t, v.isReady, patience, 5*time.Millisecond)
+	kept, err := net.Dial("tcp", v.front)
+	require.NoError(t, err)
+	answers := bufio.NewReader(kept)
+	ask := func() *http.Response {
+		_, err := io.WriteString(kept, "GET /s/x HTTP/1.1\r\nHost: h.example\r\n"+platformtest.HeaderID+": r\r\n\r\n")
+		require.NoError(t, err)
+		resp, err := http.ReadResponse(answers, nil)
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		require.NoError(t, errors.Join(err, resp.Body.Close()))
+		return resp
+	}
+	require.Equal(t, http.StatusOK, ask().StatusCode)
+	v.signals <- syscall.SIGTERM
+	require.Eventually(t, func() bool {
+		c, err := net.Dial("tcp", v.front)
+		if err == nil {
+			_ = c.Close()
+		}
+		return err != nil
+	}, patience, 5*time.Millisecond)
+	resp := ask()
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.True(t, resp.Close)
+	require.Len(t, l.Arrivals(), 1)
+	require.Zero(t, v.stop(), v.stderr.String())
+}
+
 // Guards against a VM that learns nothing while the store turns it away, although it reaches a peer that knows.
 func TestSiteLearnsFromPeers(t *testing.T) {
 	store, err := platformtest.NewStore()
@@ -153,10 +197,10 @@
 	t.Cleanup(l.Close)
 	store.Configure(3, "s")
 	store.Register(l, "s", "a", false)
-	knows := newSiteVM(t, store.Address, "vm-1")
+	knows := newSiteVM(t, store.Address, "vm-1", 3)
 	knows.start()
 	require.Eventually(t, knows.isReady, patience, 5*time.Millisecond)
-	learns := newSiteVM(t, deaf.Address, "vm-2", knows.control)
+	learns := newSiteVM(t, deaf.Address, "vm-2", 3, knows.control)
 	learns.start()
 	require.Eventually(t, func() bool { _, text := learns.get("/s/x", "r1"); return text == "one" }, patience, 5*time.Millisecond)
 	store.Configure(4, "other")
--- a/forward/service.go
+++ b/forward/service.go
@@ -47,6 +47,8 @@
 	Report func(*Summary)
 	// Away reports whether callers should open other connections from now on, which reach other VMs.
 	Away func() bool
+	// Refusing reports whether no more requests are taken, because the process is about to end.
+	Refusing func() bool
 }
 
 // Service serves callers' requests.
@@ -63,6 +65,7 @@
 	running    atomic.Int64
 	requests   atomic.Uint64
 	lacking    atomic.Uint64
+	refused    atomic.Uint64
 	isolated   atomic.Bool
 	// remoteReply is when a target of another zone last replied, in nanoseconds since start; 0 if never.
 	remoteReply atomic.Int64
@@ -78,6 +81,9 @@
 // Running returns how many requests are being served.
 func (s *Service) Running() int64 { return s.running.Load() }
 
+// Refused returns how many requests were refused because the process was about to end.
+func (s *Service) Refused() uint64 { return s.refused.Load() }
+
 // Counts returns how many requests there were, and how many of them lacked targets.
 func (s *Service) Counts() (requests, lacking uint64) { return s.requests.Load(), s.lacking.Load() }
 
@@ -151,6 +157,11 @@
 		return
 	}
 	sum.ID = req.ID
+	if s.Refusing != nil && s.Refusing() {
+		s.refused.Add(1)
+		sum.refuse(w, http.StatusServiceUnavailable, "this VM is stopping", retryStopping)
+		return
+	}
 	table := set.snapshot.Table
 	if table == nil {
 		sum.refuse(w, http.StatusServiceUnavailable, "no configuration is known yet", retryUnconfigured)
@@ -180,7 +191,9 @@
 	retryUnconfigured = 300 * time.Millisecond
 	retryNoTarget     = 250 * time.Millisecond
 	retryQuarantined  = time.Minute
-	retrySpread       = 0.5
+	// retryStopping is short, because another VM takes the request.
+	retryStopping = 10 * time.Millisecond
+	retrySpread   = 0.5
 )
 
 // readBody takes the whole body, so that it can be sent again and is never cut short by a caller that stalls.
--- a/lifecycle/lifecycle.go
+++ b/lifecycle/lifecycle.go
@@ -130,6 +130,9 @@
 // Stop makes the process not ready for good. Drain does so by itself.
 func (s *State) Stop() { s.stop() }
 
+// Refuse makes new work of callers refused. Drain does so by itself.
+func (s *State) Refuse() { s.refuse() }
+
 func (s *State) stop() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/plugin/callerfront/callerfront.go
+++ b/plugin/callerfront/callerfront.go
@@ -26,11 +26,53 @@
 	defaultMaxHeaderBytes = 64 << 10
 	// stopMargin is what is left of the time to stop for the end of the process.
 	stopMargin = 500 * time.Millisecond
+	// closeTime is what is left to the requests that still run once connections without a request are closed.
+	closeTime = 700 * time.Millisecond
+	// stopPoll is how often a stop looks whether it is done.
+	stopPoll = 20 * time.Millisecond
 	// lingerShare is the part of the time to stop in which callers' open connections are still served, so that each of
-	// them gets an answer that says to use another one.
-	lingerShare = 0.6
+	// them gets an answer that says to use another one. The rest is for the requests taken until then: the longest
+	// ones take several seconds.
+	lingerShare = 0.4
 )
 
+// stop turns callers away in three steps: new connections still come until the balancer has noticed; then requests on
+// kept connections are refused, which closes them, because a connection that is closed while it is idle may just carry a
+// request; at the end what is left is closed.
+func stop(ctx context.Context, p parts, f *front) error {
+	end := time.Now().Add(p.Settings.StopBound - stopMargin)
+	p.Logger.Info("stopping", "linger", linger(p.Settings.StopBound), "bound", p.Settings.StopBound, "running", p.Service.Running(), "connections", f.open.Load())
+	p.State.Stop()
+	p.Leaver.Leave(func(int) {})
+	wait(ctx, time.Now().Add(linger(p.Settings.StopBound)), func() bool { return false })
+	p.State.Refuse()
+	f.closeListener()
+	wait(ctx, end.Add(-closeTime), func() bool { return f.open.Load() == 0 })
+	ctx, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
+	err := f.shutdown(ctx)
+	p.Logger.Info("stopped", "running", p.Service.Running(), "refused", p.Service.Refused(), "err", err)
+	return err
+}
+
+// wait returns at a time, or when the condition holds or the context ends.
+func wait(ctx context.Context, until time.Time, done func() bool) {
+	ticker := time.NewTicker(stopPoll)
+	defer ticker.Stop()
+	for time.Now().Before(until) && !done() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// linger returns how long a stopping VM takes requests, out of the time until it is killed.
+func linger(stopBound time.Duration) time.Duration {
+	return time.Duration(lingerShare * float64(stopBound))
+}
+
 func init() {
 	kernel.Register(kernel.Plugin{Name: "callerfront", Options: func() fx.Option { return fx.Invoke(serve) }})
 }
@@ -68,23 +110,6 @@
 			go f.accept(l)
 			return nil
 		},
-		OnStop: func(ctx context.Context) error {
-			bound := p.Settings.StopBound - stopMargin
-			linger := time.Duration(lingerShare * float64(bound))
-			p.Logger.Info("stopping", "linger", linger, "bound", bound, "running", p.Service.Running())
-			p.State.Stop()
-			p.Leaver.Leave(func(int) {})
-			wait := time.NewTimer(linger)
-			defer wait.Stop()
-			select {
-			case <-wait.C:
-			case <-ctx.Done():
-			}
-			ctx, cancel := context.WithTimeout(ctx, bound-linger)
-			defer cancel()
-			err := f.shutdown(ctx)
-			p.Logger.Info("stopped", "running", p.Service.Running(), "err", err)
-			return err
-		},
+		OnStop: func(ctx context.Context) error { return stop(ctx, p, f) },
 	})
 }
--- a/plugin/callerfront/front.go
+++ b/plugin/callerfront/front.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -46,6 +47,9 @@
 	handler http.Handler
 	logger  *log.Logger
 
+	// open counts callers' connections.
+	open atomic.Int64
+
 	mu       sync.Mutex
 	listener net.Listener
 	servers  []*limited
@@ -71,7 +75,7 @@
 		return
 	}
 	next := &limited{limits: l, queue: newHandoff(), server: &http.Server{Handler: f.handler, MaxHeaderBytes: l.headerBytes,
-		ReadHeaderTimeout: l.headerTime, IdleTimeout: l.idleTime}}
+		ReadHeaderTimeout: l.headerTime, IdleTimeout: l.idleTime, ConnState: f.count}}
 	f.servers = append(f.servers, next)
 	f.logger.Info("limits", "header_bytes", l.headerBytes, "header_timeout", l.headerTime, "idle_timeout", l.idleTime)
 	go func() {
@@ -81,6 +85,16 @@
 	}()
 }
 
+func (f *front) count(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		f.open.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		f.open.Add(-1)
+	case http.StateActive, http.StateIdle:
+	}
+}
+
 func (f *front) newest() *limited { return f.servers[len(f.servers)-1] }
 
 // accept runs until the listener is closed by shutdown.
@@ -105,14 +119,24 @@
 	}
 }
 
-// shutdown accepts no more connections and waits until the open requests have ended, or the context.
+// closeListener accepts no more connections; those that are open go on.
+func (f *front) closeListener() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.listener == nil {
+		return
+	}
+	if err := f.listener.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+		f.logger.Warn("listener_close", "err", err)
+	}
+}
+
+// shutdown closes connections without a request and waits until the others have ended, or the context.
 func (f *front) shutdown(ctx context.Context) error {
+	f.closeListener()
 	f.mu.Lock()
 	f.closed = true
 	servers := f.servers
-	if f.listener != nil {
-		_ = f.listener.Close()
-	}
 	f.mu.Unlock()
 	errs := make([]error, len(servers))
 	var waiting sync.WaitGroup
--- a/plugin/forwarding/forwarding.go
+++ b/plugin/forwarding/forwarding.go
@@ -67,7 +67,7 @@
 func newService(s *site.Settings, protocol forward.Protocol, dialer leafconn.Dialer, decisions *decisionlog.Log, state *lifecycle.State,
 	guard forward.CrashGuard, counted *instruments) *forward.Service {
 	return forward.New(forward.Options{VMID: s.VMID, Zone: s.Zone, Regions: s.Regions, Protocol: protocol, Dialer: dialer,
-		Extra: s.Extra, Cold: s.Cold, Guard: guard, Report: reporter(decisions, counted), Away: func() bool { return !state.Ready() }})
+		Extra: s.Extra, Cold: s.Cold, Guard: guard, Report: reporter(decisions, counted), Away: func() bool { return !state.Ready() }, Refusing: state.Draining})
 }
 
 // follow keeps the service's backends up to date and makes the VM ready once requests can be served.
