standin/fleet: reserve the ports of a fleet until it stops

Cause: freeAddresses closed its listeners before the processes bound the ports, so any program that asked for a free port in between could get one; the daemon then exited with "address already in use" and Start waited out its time limit.

Ruled out: listeners handed over to the processes (a connection to a killed daemon would wait in the backlog instead of being refused), and ports outside the ephemeral range (two fleets could still choose the same).

Change: each port is held by a socket that is bound but does not listen. The kernel gives it to no other socket, connections to it are refused, and the process it is reserved for can listen on it. Start returns as soon as one of its processes exits, with the end of that process's log.

--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -79,6 +79,7 @@
 	Targets         []*Target
 	Daemons         []*Daemon
 	signers         *signers
+	ports           portReservations
 	// version is the highest bundle version published so far.
 	version uint64
 }
@@ -114,14 +115,14 @@
 			return err
 		}
 	}
-	return WaitFor(ctx, "all daemons ready", func() bool { return f.readyCount() == len(f.Daemons) })
+	return waitRunning(ctx, "all daemons ready", f.processes(), func() bool { return f.readyCount() == len(f.Daemons) })
 }
 
 // program returns the path of a built program.
 func (f *Fleet) program(name string) string { return filepath.Join(f.options.BinDir, name) }
 
 func (f *Fleet) startPlatform(ctx context.Context) error {
-	addresses, err := freeAddresses(1)
+	addresses, err := f.ports.reserve(1)
 	if err != nil {
 		return err
 	}
@@ -131,12 +132,12 @@
 	if err != nil {
 		return err
 	}
-	return WaitFor(ctx, "platform ready", func() bool { return statusCode(f.PlatformURL+"/v1/vms") == http.StatusOK })
+	return waitRunning(ctx, "platform ready", f.processes(), func() bool { return statusCode(f.PlatformURL+"/v1/vms") == http.StatusOK })
 }
 
 func (f *Fleet) startTargets(ctx context.Context) error {
 	for _, s := range f.options.Services {
-		addresses, err := freeAddresses(s.Shards * len(s.Zones))
+		addresses, err := f.ports.reserve(s.Shards * len(s.Zones))
 		if err != nil {
 			return err
 		}
@@ -148,7 +149,7 @@
 			}
 		}
 	}
-	return WaitFor(ctx, "targets ready", func() bool {
+	return waitRunning(ctx, "targets ready", f.processes(), func() bool {
 		for _, t := range f.Targets {
 			if statusCode("http://"+t.Address+"/health") != http.StatusOK {
 				return false
@@ -176,7 +177,7 @@
 // daemon.
 func (f *Fleet) prepareDaemons(ctx context.Context) error {
 	const listeners = 3
-	addresses, err := freeAddresses(listeners * f.options.VMs)
+	addresses, err := f.ports.reserve(listeners * f.options.VMs)
 	if err != nil {
 		return err
 	}
@@ -237,7 +238,24 @@
 	for _, t := range f.Targets {
 		processes = append(processes, t.Process)
 	}
-	return errors.Join(err, terminateAll(ctx, processes))
+	return errors.Join(err, terminateAll(ctx, processes), f.ports.release())
+}
+
+// processes returns the processes that have been started.
+func (f *Fleet) processes() []*Process {
+	var started []*Process
+	if f.platformProcess != nil {
+		started = append(started, f.platformProcess)
+	}
+	for _, t := range f.Targets {
+		started = append(started, t.Process)
+	}
+	for _, d := range f.Daemons {
+		if d.Process != nil {
+			started = append(started, d.Process)
+		}
+	}
+	return started
 }
 
 // terminateAll terminates the processes concurrently; nil entries have not been started and are skipped.
--- a/standin/fleet/fleet_test.go
+++ b/standin/fleet/fleet_test.go
@@ -245,3 +245,15 @@
 		require.Equal(t, "complete", resp.Outcome, "searches that crash no target must stay complete")
 	}
 }
+
+// Guards against a start that waits for its time limit although a process has already exited, and against an error that
+// does not name the cause.
+func TestFailedStartNamesTheExitedProcess(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+	defer cancel()
+	_, err := fleet.Start(ctx, fleet.Options{BinDir: binDir, Dir: t.TempDir(), Zones: zones, VMs: 1,
+		DaemonArgs: []string{"--no-such-flag"}})
+	require.ErrorContains(t, err, "vm-00 exited")
+	require.ErrorContains(t, err, "no-such-flag")
+	require.NoError(t, ctx.Err())
+}
--- a/standin/fleet/process.go
+++ b/standin/fleet/process.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -85,23 +84,49 @@
 	}
 }
 
-// freeAddresses returns n distinct loopback addresses whose ports are free. The ports are not reserved: another process
-// may take one before it is used. All listeners stay open until the function returns, so that the addresses differ.
-func freeAddresses(n int) ([]string, error) {
-	addresses := make([]string, 0, n)
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, fmt.Errorf("find free port: %w", err)
+// pollInterval is the time between two evaluations of a condition by WaitFor.
+const pollInterval = 20 * time.Millisecond
+
+// waitRunning polls a condition until it holds, as WaitFor does. It returns an error at once if one of the processes
+// has exited; the error holds the last lines of that process's log.
+func waitRunning(ctx context.Context, what string, processes []*Process, condition func() bool) error {
+	var exited *Process
+	err := WaitFor(ctx, what, func() bool {
+		for _, p := range processes {
+			if !p.Running() {
+				exited = p
+				return true
+			}
 		}
-		defer func() { _ = l.Close() }()
-		addresses = append(addresses, l.Addr().String())
+		return condition()
+	})
+	if exited != nil {
+		return fmt.Errorf("wait for %s: %s exited (%w); end of its log:\n%s", what, exited.Name, exited.exitError(), exited.logTail())
 	}
-	return addresses, nil
+	return err
 }
 
-// pollInterval is the time between two evaluations of a condition by WaitFor.
-const pollInterval = 20 * time.Millisecond
+var errCleanExit = errors.New("exit status 0")
+
+// exitError returns why the process exited. It must be called after the exit only.
+func (p *Process) exitError() error {
+	if p.err == nil {
+		return errCleanExit
+	}
+	return p.err
+}
+
+// logTailBytes is how much of a log an error quotes.
+const logTailBytes = 1 << 10
+
+// logTail returns the end of the log of the process.
+func (p *Process) logTail() string {
+	data, err := os.ReadFile(p.log.Name())
+	if err != nil {
+		return fmt.Sprintf("log not readable: %v", err)
+	}
+	return string(data[max(0, len(data)-logTailBytes):])
+}
 
 // WaitFor polls a condition until it holds. If the context ends first, it returns an error that names the condition by
 // what.
