--- a/cmd/teaselbankd/site.go
+++ b/cmd/teaselbankd/site.go
@@ -65,6 +65,7 @@
 		fx.Provide(func() leafconn.Dialer { return platform.NewDialer() }),
 		fx.Provide(func() topology.Decoder { return platform.Decode }),
 		fx.Provide(func() membership.Seeds { return seeds.current }),
+		fx.Supply(membership.Capacity(s.Capacity)),
 		fx.Populate(&state))
 	if err := serve(app, &state, signals); err != nil {
 		_, _ = fmt.Fprintln(stderr, "teaselbankd:", err)
--- /dev/null
+++ b/delegate/client.go
@@ -0,0 +1,262 @@
+// Package delegate carries searches from the VMs that receive them to the coordinators that run them.
+package delegate
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/charmbracelet/log"
+
+	"teaselbank.example/teaselbank/coordinator"
+	"teaselbank.example/teaselbank/forward"
+	peerv1 "teaselbank.example/teaselbank/gen/teaselbank/peer/v1"
+	"teaselbank.example/teaselbank/gen/teaselbank/peer/v1/peerv1connect"
+	"teaselbank.example/teaselbank/ident"
+	"teaselbank.example/teaselbank/membership"
+	"teaselbank.example/teaselbank/peerhttp"
+)
+
+// Times of calls to coordinators.
+const (
+	// availableTimeout is how long a VM waits for a coordinator that may be out of reach. After that it runs the search
+	// itself, which must still leave most of a short objective.
+	availableTimeout = 30 * time.Millisecond
+	// maxTries is how many coordinators are asked before the VM runs a search itself.
+	maxTries = 2
+	// avoidAfterFailure and avoidAfterRefusal are how long a coordinator gets no searches after it did not reply, and
+	// after it replied that it would not run one now.
+	avoidAfterFailure = 2 * time.Second
+	avoidAfterRefusal = 200 * time.Millisecond
+	// checkInterval is how often a coordinator whose response is due is checked, checkTimeout how long its reply may take,
+	// and maxFailedChecks after how many failed checks the search is lost.
+	checkInterval   = 100 * time.Millisecond
+	checkTimeout    = 80 * time.Millisecond
+	maxFailedChecks = 2
+	// idleTimeout is how long a connection to a coordinator without calls stays open.
+	idleTimeout = 30 * time.Second
+	// deadlineGrace is how much longer than the deadline a VM waits for the response, which then states the reason.
+	deadlineGrace = 20 * time.Millisecond
+	// maxMessageBytes is enough for the signatures of several thousand shards.
+	maxMessageBytes = 4 << 20
+)
+
+var errLost = errors.New("the coordinator of the search no longer replies")
+
+// Dial opens a connection to a peer.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Options configures a Client.
+type Options struct {
+	// Roles returns the current division of the fleet.
+	Roles func() coordinator.Roles
+	// Pace is that of this VM.
+	Pace *coordinator.Pace
+	Dial Dial
+	// Failures is notified of coordinators that do not reply.
+	Failures membership.FailureReporter
+	Logger   *log.Logger
+}
+
+// Client hands searches over to the coordinators of this VM's zone. It implements forward.Coordinators.
+type Client struct {
+	Options
+
+	handedOver, notStarted, lost atomic.Uint64
+
+	mu    sync.Mutex
+	peers map[ident.VMID]*peer
+}
+
+// peer is a coordinator and this VM's connection to it.
+type peer struct {
+	id   ident.VMID
+	http *http.Client
+	rpc  peerv1connect.CoordinatorServiceClient
+	// inFlight and avoidUntil are guarded by Client.mu.
+	inFlight   int
+	avoidUntil time.Time
+	address    string
+}
+
+// NewClient returns a client without connections.
+func NewClient(o Options) *Client { return &Client{Options: o, peers: map[ident.VMID]*peer{}} }
+
+// Counts returns how many searches were run by coordinators, how many were handed over to none, and how many were lost
+// because their coordinator no longer replied.
+func (c *Client) Counts() (handedOver, notStarted, lost uint64) {
+	return c.handedOver.Load(), c.notStarted.Load(), c.lost.Load()
+}
+
+// Run implements forward.Coordinators.
+func (c *Client) Run(ctx context.Context, s *forward.Search) (*forward.SearchReply, error) {
+	roles := c.Roles()
+	if roles.Self || len(roles.Local) == 0 {
+		return nil, forward.ErrNotStarted
+	}
+	p := c.reserve(ctx, &roles, s.Version)
+	if p == nil {
+		c.notStarted.Add(1)
+		return nil, forward.ErrNotStarted
+	}
+	defer c.release(p)
+	reply, err := c.search(ctx, p, s)
+	switch {
+	case err == nil:
+		c.handedOver.Add(1)
+	case errors.Is(err, forward.ErrNotStarted):
+		c.notStarted.Add(1)
+	case ctx.Err() == nil:
+		c.lost.Add(1)
+		c.failed(p, err)
+	}
+	return reply, err
+}
+
+// reserve returns a coordinator that would run a search now, nil if there is none. release must be called when its
+// search has ended.
+func (c *Client) reserve(ctx context.Context, roles *coordinator.Roles, version uint64) *peer {
+	for range maxTries {
+		p := c.choose(roles.Local)
+		if p == nil {
+			return nil
+		}
+		callCtx, cancel := context.WithTimeout(ctx, availableTimeout)
+		resp, err := p.rpc.Available(callCtx, connect.NewRequest(&peerv1.AvailableRequest{ConfigVersion: version}))
+		cancel()
+		if err != nil {
+			c.release(p)
+			if ctx.Err() == nil {
+				c.failed(p, err)
+			}
+			return nil
+		}
+		offered := time.Duration(resp.Msg.GetSendUs()) * time.Microsecond
+		if resp.Msg.GetRefusal() == "" && coordinator.WorthHandingOver(c.Pace.Estimate(time.Now()), offered) {
+			return p
+		}
+		c.release(p)
+		c.avoid(p, avoidAfterRefusal)
+	}
+	return nil
+}
+
+// choose returns the coordinator to try, with one more search in flight, or nil if all are avoided.
+func (c *Client) choose(local []membership.Member) *peer {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	candidates := make([]coordinator.Candidate, len(local))
+	for i, m := range local {
+		if p := c.peers[m.ID]; p != nil && p.address == m.Address {
+			candidates[i] = coordinator.Candidate{InFlight: p.inFlight, AvoidUntil: p.avoidUntil}
+		}
+	}
+	at := coordinator.Choose(candidates, now, rand.IntN(len(local)))
+	if at < 0 {
+		return nil
+	}
+	m := local[at]
+	p := c.peers[m.ID]
+	if p == nil || p.address != m.Address {
+		p = c.newPeer(m.ID, m.Address)
+		c.peers[m.ID] = p
+	}
+	p.inFlight++
+	return p
+}
+
+// newPeer returns a peer with a client of its own, so that its connection can be replaced without those of others.
+func (c *Client) newPeer(id ident.VMID, address string) *peer {
+	client := peerhttp.NewClient(peerhttp.Options{Dial: c.Dial, IdleTimeout: idleTimeout, SendOnce: true})
+	return &peer{id: id, address: address, http: client,
+		rpc: peerv1connect.NewCoordinatorServiceClient(client, "http://"+address, connect.WithReadMaxBytes(maxMessageBytes))}
+}
+
+func (c *Client) release(p *peer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p.inFlight--
+}
+
+func (c *Client) avoid(p *peer, d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p.avoidUntil = time.Now().Add(d)
+}
+
+// failed records that a coordinator did not reply. Its connection is replaced: a connection may go silent for good while
+// new ones work.
+func (c *Client) failed(p *peer, err error) {
+	c.Logger.Warn("coordinator_failed", "peer", p.id, "err", err)
+	c.mu.Lock()
+	if c.peers[p.id] == p {
+		next := c.newPeer(p.id, p.address)
+		next.avoidUntil = time.Now().Add(avoidAfterFailure)
+		c.peers[p.id] = next
+	}
+	c.mu.Unlock()
+	p.http.CloseIdleConnections()
+	c.Failures.ReportFailure(p.id)
+}
+
+// search has the coordinator run a search. It returns forward.ErrNotStarted only if no target can have the search.
+func (c *Client) search(ctx context.Context, p *peer, s *forward.Search) (*forward.SearchReply, error) {
+	ctx, cancel := context.WithDeadline(ctx, s.Request.Deadline.Add(deadlineGrace))
+	defer cancel()
+	var maybeSent, lost atomic.Bool
+	stopChecks := c.checkWhenDue(ctx, p, s, func() {
+		lost.Store(true)
+		cancel()
+	})
+	defer stopChecks()
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { maybeSent.Store(true) }})
+	resp, err := p.rpc.Search(traced, connect.NewRequest(requestToMessage(s, time.Now())))
+	switch {
+	case err != nil && !maybeSent.Load():
+		return nil, fmt.Errorf("%w: %w", forward.ErrNotStarted, err)
+	case lost.Load():
+		return nil, errLost
+	case err != nil:
+		return nil, fmt.Errorf("call coordinator %s: %w", p.id, err)
+	case resp.Msg.GetNotStarted() != "":
+		c.avoid(p, avoidAfterRefusal)
+		return nil, forward.ErrNotStarted
+	}
+	return replyFromMessage(resp.Msg, p.id), nil
+}
+
+// checkWhenDue checks, once the response of a search is due, whether its coordinator still replies, and calls lost if it
+// does not. The returned function ends the checks.
+func (c *Client) checkWhenDue(ctx context.Context, p *peer, s *forward.Search, lost func()) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	failed := 0
+	var check func()
+	var timer atomic.Pointer[time.Timer]
+	check = func() {
+		callCtx, cancelCall := context.WithTimeout(ctx, checkTimeout)
+		defer cancelCall()
+		if _, err := p.rpc.Available(callCtx, connect.NewRequest(&peerv1.AvailableRequest{ConfigVersion: s.Version})); err == nil {
+			failed = 0
+		} else if failed++; failed >= maxFailedChecks && ctx.Err() == nil {
+			lost()
+			return
+		}
+		if ctx.Err() == nil {
+			timer.Store(time.AfterFunc(checkInterval, check))
+		}
+	}
+	timer.Store(time.AfterFunc(time.Until(s.AnswerBy)+checkInterval/2, check))
+	return func() {
+		cancel()
+		timer.Load().Stop()
+	}
+}
--- /dev/null
+++ b/delegate/server.go
@@ -0,0 +1,49 @@
+package delegate
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"teaselbank.example/teaselbank/coordinator"
+	"teaselbank.example/teaselbank/forward"
+	peerv1 "teaselbank.example/teaselbank/gen/teaselbank/peer/v1"
+)
+
+// Runner runs searches on this VM; *forward.Service implements it.
+type Runner interface {
+	// RunSearch runs a search for another VM. Any error means that the search was not started.
+	RunSearch(ctx context.Context, s *forward.Search) (*forward.SearchReply, error)
+	// ConfigurationVersion returns the version of the configuration by which this VM routes; 0 if it has none.
+	ConfigurationVersion() uint64
+}
+
+// Server serves the calls of other VMs to this one as a coordinator.
+type Server struct {
+	Runner Runner
+	Pace   *coordinator.Pace
+	// Ready reports whether this VM takes new work.
+	Ready func() bool
+}
+
+// Available implements peerv1connect.CoordinatorServiceHandler.
+func (s *Server) Available(_ context.Context, req *connect.Request[peerv1.AvailableRequest]) (*connect.Response[peerv1.AvailableResponse], error) {
+	resp := &peerv1.AvailableResponse{SendUs: s.Pace.Estimate(time.Now()).Microseconds()}
+	switch {
+	case !s.Ready():
+		resp.Refusal = "not ready"
+	case req.Msg.GetConfigVersion() != s.Runner.ConfigurationVersion():
+		resp.Refusal = "another version of the configuration"
+	}
+	return connect.NewResponse(resp), nil
+}
+
+// Search implements peerv1connect.CoordinatorServiceHandler.
+func (s *Server) Search(ctx context.Context, req *connect.Request[peerv1.SearchRequest]) (*connect.Response[peerv1.SearchResponse], error) {
+	reply, err := s.Runner.RunSearch(ctx, requestFromMessage(req.Msg, time.Now()))
+	if err != nil {
+		return connect.NewResponse(&peerv1.SearchResponse{NotStarted: err.Error()}), nil
+	}
+	return connect.NewResponse(replyToMessage(reply)), nil
+}
--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -6,6 +6,9 @@
 const (
 	// responseReserve is the part of the objective kept for this VM's own work and the way back to the caller.
 	responseReserve = 22 * time.Millisecond
+	// handBackReserve is the part of the objective that a coordinator keeps, in addition to responseReserve, for the way
+	// of the response to the entry VM.
+	handBackReserve = 6 * time.Millisecond
 	// maxReserveShare limits the reserve to this share of a short objective.
 	maxReserveShare = 0.4
 	// minHedgeShare is the share of the objective before which no request is hedged. An earlier hedge would spend the
@@ -25,6 +28,11 @@
 	return arrived.Add(objective - min(responseReserve, fraction(objective, maxReserveShare)))
 }
 
+// AnswerByAtCoordinator is AnswerBy for a search that this VM runs for another one.
+func AnswerByAtCoordinator(arrived time.Time, objective time.Duration) time.Time {
+	return AnswerBy(arrived, objective).Add(-handBackReserve)
+}
+
 // HedgeDelay returns how long to wait for the reply to a send before the request is hedged. An objective of 0 stands for
 // the default.
 func HedgeDelay(estimate LatencyEstimate, rtt, objective time.Duration) time.Duration {
--- a/dispatch/budget.go
+++ b/dispatch/budget.go
@@ -13,8 +13,8 @@
 const usableBudgetShare = 0.85
 
 // Budget bounds this VM's extra sends to one service in a sliding window. The bound for all VMs together is a share of
-// the requests plus a constant. Each VM applies the share to its own requests and takes an equal part of the constant.
-// It is safe for concurrent use.
+// the requests plus a constant. Each VM applies the share to its own requests and uses its part of the constant. It is
+// safe for concurrent use.
 type Budget struct {
 	ratio  float64
 	slack  float64
@@ -26,7 +26,8 @@
 	extraSends [budgetBuckets]int
 }
 
-// NewBudget returns a budget of usableBudgetShare x (ratio x requests + slack/VMs) extra sends in any window.
+// NewBudget returns a budget of usableBudgetShare x (ratio x requests + part x slack) extra sends in any window, where
+// part is this VM's part of the constant.
 func NewBudget(ratio, slack float64, window time.Duration) *Budget {
 	return &Budget{ratio: ratio, slack: slack, window: window}
 }
@@ -39,9 +40,9 @@
 	b.firstSends[b.bucket%budgetBuckets]++
 }
 
-// Take reports whether one more extra send is allowed and, if so, counts it. vms is the number of VMs that share the
-// constant, or an upper bound of that number.
-func (b *Budget) Take(at time.Duration, vms int) bool {
+// Take reports whether one more extra send is allowed and, if so, counts it. part is this VM's part of the constant, from
+// 0 to 1; the parts of all VMs must not add up to more than 1.
+func (b *Budget) Take(at time.Duration, part float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advanceTo(at)
@@ -50,7 +51,7 @@
 		firstSends += b.firstSends[i]
 		extraSends += b.extraSends[i]
 	}
-	allowed := usableBudgetShare * (b.ratio*float64(firstSends) + b.slack/float64(max(1, vms)))
+	allowed := usableBudgetShare * (b.ratio*float64(firstSends) + b.slack*part)
 	if float64(extraSends+1) > allowed {
 		return false
 	}
--- a/dispatch/budget_test.go
+++ b/dispatch/budget_test.go
@@ -28,7 +28,7 @@
 			if rapid.IntRange(0, 3).Draw(t, "first") == 0 {
 				b.RecordFirstSend(at)
 				firstSends = append(firstSends, at)
-			} else if b.Take(at, vms) {
+			} else if b.Take(at, 1/float64(vms)) {
 				extraSends = append(extraSends, at)
 			}
 		}
--- a/dispatch/connections.go
+++ b/dispatch/connections.go
@@ -10,6 +10,21 @@
 // FleetSize is the number of VMs that are assumed to share a target: in all zones, and in the target's zone.
 type FleetSize struct {
 	All, InZone int
+	// Coordinators and CoordinatorsInZone count the VMs among them that send most requests to the target; 0 if all send
+	// alike.
+	Coordinators, CoordinatorsInZone int
+	// Coordinator reports that this VM is one of them.
+	Coordinator bool
+}
+
+// coordinatorConnections is the part of a target's connections that the coordinators divide equally among themselves. A
+// search goes to one target of each shard, in whichever zone it is, so the zone of the target makes no difference.
+const coordinatorConnections = 0.6
+
+// forSenders returns the limit that this VM's kind of senders divides, and the number of VMs of that kind.
+func (f FleetSize) forSenders(limit int) (int, FleetSize) {
+	reserved := int(coordinatorConnections * float64(limit))
+	return limit - reserved, FleetSize{All: f.All - f.Coordinators, InZone: max(0, f.InZone-f.CoordinatorsInZone)}
 }
 
 // ConnectionShare returns how many connections this VM may open to a target that accepts at most limit connections from
@@ -19,6 +34,12 @@
 	if limit <= 0 {
 		limit = defaultMaxConnections
 	}
+	if fleet.Coordinators > 0 && fleet.Coordinators < fleet.All {
+		if fleet.Coordinator {
+			return max(1, int(coordinatorConnections*float64(limit))/fleet.Coordinators)
+		}
+		limit, fleet = fleet.forSenders(limit)
+	}
 	all := max(1, fleet.All)
 	inZone := max(0, min(fleet.InZone, all))
 	if local {
--- a/forward/endpoints.go
+++ b/forward/endpoints.go
@@ -3,6 +3,7 @@
 package forward
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -28,6 +29,8 @@
 	// zone has VMs, the preferred sender is the VM that ranks first for the target. Otherwise there is one only if a VM is
 	// alone in the zone.
 	owned bool
+	// warm reports that connections to the target are opened ahead of requests.
+	warm bool
 	// sharers is the number of VMs taken to run in the target's zone, at least 1.
 	sharers int
 }
@@ -39,6 +42,48 @@
 	InZone map[ident.Zone]int
 	// Peers are the IDs of the usable VMs in this VM's zone, Members those in all zones. Both include this VM.
 	Peers, Members []ident.VMID
+	// Coordinators counts the VMs of each zone that run the searches of others; Coordinator reports that this VM is one.
+	// LocalCoordinators are the IDs of the usable ones in this VM's zone, this VM included if it is one.
+	Coordinators      map[ident.Zone]int
+	Coordinator       bool
+	LocalCoordinators []ident.VMID
+	// ExtraShare is this VM's part of the fleet's constant of extra sends to shards, from 0 to 1.
+	ExtraShare float64
+}
+
+// allCoordinators returns the number of coordinators in all zones.
+func (f *FleetView) allCoordinators() int {
+	n := 0
+	for _, c := range f.Coordinators {
+		n += c
+	}
+	return n
+}
+
+// sizeFor returns the number of VMs that share a target in a zone. shard reports that the target holds a shard, whose
+// requests come mostly from coordinators.
+func (f *FleetView) sizeFor(zone ident.Zone, shard bool) dispatch.FleetSize {
+	size := dispatch.FleetSize{All: f.All, InZone: f.InZone[zone]}
+	if shard {
+		size.Coordinators, size.CoordinatorsInZone, size.Coordinator = f.allCoordinators(), f.Coordinators[zone], f.Coordinator
+	}
+	return size
+}
+
+// extraShare returns this VM's part of the constant of extra sends to a service.
+func (f *FleetView) extraShare(shard bool) float64 {
+	if shard && f.ExtraShare > 0 {
+		return f.ExtraShare
+	}
+	return 1 / float64(max(1, f.All))
+}
+
+// senders returns the VMs of this VM's zone that send to a target there as a rule.
+func (f *FleetView) senders(shard bool) []ident.VMID {
+	if shard && len(f.LocalCoordinators) > 0 {
+		return f.LocalCoordinators
+	}
+	return f.Peers
 }
 
 // endpointSet holds the Endpoint of each target in one topology snapshot. It is immutable.
@@ -83,14 +128,18 @@
 // newEndpoint returns the Endpoint of a target for the set next. The Endpoint takes over the connections and the
 // observed load from the old set if the target is the same process there.
 func (s *Service) newEndpoint(old *endpointSet, t *topology.Target, next *endpointSet) *Endpoint {
-	e := &Endpoint{Target: t, local: t.Zone == s.Zone, sharers: max(1, next.fleet.InZone[t.Zone])}
+	shard := next.snapshot.Table.IsShard(t.Service)
+	size := next.fleet.sizeFor(t.Zone, shard)
+	e := &Endpoint{Target: t, local: t.Zone == s.Zone, sharers: max(1, size.InZone)}
+	if size.CoordinatorsInZone > 0 {
+		e.sharers = size.CoordinatorsInZone
+	}
 	for _, prev := range old.byService[t.Service] {
 		if prev.Target.SameProcess(t) {
 			e.Pool, e.Tracker, e.coldLimiter = prev.Pool, prev.Tracker, prev.coldLimiter
 		}
 	}
-	share := dispatch.ConnectionShare(next.snapshot.Table.Services[t.Service].MaxConnections,
-		dispatch.FleetSize{All: next.fleet.All, InZone: next.fleet.InZone[t.Zone]}, e.local)
+	share := dispatch.ConnectionShare(next.snapshot.Table.Services[t.Service].MaxConnections, size, e.local)
 	if e.Pool == nil {
 		tracker := dispatch.NewTracker()
 		e.Tracker, e.coldLimiter = tracker, new(dispatch.ColdLimiter)
@@ -103,11 +152,14 @@
 	if rate := next.snapshot.Table.Services[t.Service].ColdRate; rate > 0 {
 		e.coldShare = dispatch.ColdShare(rate*s.Cold.Factor+s.Cold.Slack, next.fleet.All, rank(s.VMID, next.fleet.Members, t.ID))
 	}
-	if e.local && len(next.snapshot.Targets[t.Service]) > len(next.fleet.Peers) {
-		e.owned = rank(s.VMID, next.fleet.Peers, t.ID) == 0
-	} else if e.local {
-		e.owned = len(next.fleet.Peers) <= 1
+	senders := next.fleet.senders(shard)
+	sends := slices.Contains(senders, s.VMID)
+	if e.local && sends && len(next.snapshot.Targets[t.Service]) > len(senders) {
+		e.owned = rank(s.VMID, senders, t.ID) == 0
+	} else if e.local && sends {
+		e.owned = len(senders) <= 1
 	}
+	e.warm = e.local && sends && t.LeavingSince.IsZero() && (e.owned || len(next.snapshot.Targets[t.Service]) <= warmAllMaxTargets)
 	return e
 }
 
@@ -132,13 +184,13 @@
 }
 
 // Maintain closes connections that were idle too long and opens connections ahead of requests: to the local targets
-// that this VM owns and to all local targets of small services, unless they are leaving. It must be called
-// periodically.
+// that this VM owns and to all local targets of small services, unless they are leaving or hold a shard that other VMs
+// of the zone send to as coordinators. It must be called periodically.
 func (s *Service) Maintain(now time.Time) {
 	for _, list := range s.endpoints.Load().byService {
 		for _, e := range list {
 			e.Pool.CloseExpired(now)
-			if e.local && e.Target.LeavingSince.IsZero() && (e.owned || len(list) <= warmAllMaxTargets) {
+			if e.warm {
 				e.Pool.Warm(warmConnections)
 			}
 		}
--- a/forward/job.go
+++ b/forward/job.go
@@ -108,9 +108,8 @@
 const maxSendsPerUnit = 6
 
 // newJob returns the job of a request. For a route that splits requests between services it draws one by weight.
-func (s *Service) newJob(set *endpointSet, route *routing.Route, req *leafconn.Request, arrived time.Time) *job {
-	j := &job{s: s, set: set, route: route, req: req, arrived: arrived, answerBy: dispatch.AnswerBy(arrived, route.Objective),
-		estimator: s.estimator(route)}
+func (s *Service) newJob(set *endpointSet, route *routing.Route, req *leafconn.Request, arrived, answerBy time.Time) *job {
+	j := &job{s: s, set: set, route: route, req: req, arrived: arrived, answerBy: answerBy, estimator: s.estimator(route)}
 	j.estimate = j.estimator.Estimate()
 	if route.IsScatter() {
 		j.units = make([]unit, len(route.Shards))
@@ -136,6 +135,9 @@
 		j.s.budget(j.units[i].service).RecordFirstSend(now.Sub(j.s.start))
 		j.send(i, now, firstSend)
 	}
+	if s := j.s; s.Pace != nil && j.route.IsScatter() {
+		s.Pace.Observe(time.Now(), len(j.units), time.Since(now))
+	}
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for {
@@ -464,7 +466,7 @@
 // sendExtra sends a unit once more if the budget of extra sends allows it, and reports whether it did.
 func (j *job) sendExtra(i int, now time.Time) bool {
 	budget := j.s.budget(j.units[i].service)
-	if !budget.Take(now.Sub(j.s.start), j.set.fleet.All) {
+	if !budget.Take(now.Sub(j.s.start), j.set.fleet.extraShare(j.route.IsScatter())) {
 		j.deniedExtraSends++
 		return false
 	}
--- a/forward/service.go
+++ b/forward/service.go
@@ -8,11 +8,11 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"teaselbank.example/teaselbank/coordinator"
 	"teaselbank.example/teaselbank/crashguard"
 	"teaselbank.example/teaselbank/dispatch"
 	"teaselbank.example/teaselbank/ident"
@@ -52,6 +52,10 @@
 	// CloseConnections reports whether callers should reconnect, so that the balancer gives them another VM. While it
 	// reports true, responses close their connections. It may be nil.
 	CloseConnections func() bool
+	// Coordinators hands searches over to other VMs. It may be nil.
+	Coordinators Coordinators
+	// Pace records how long this VM needs to send searches. It may be nil.
+	Pace *coordinator.Pace
 	// Refusing reports whether new requests are refused because the process is about to end. It may be nil.
 	Refusing func() bool
 }
@@ -211,8 +215,7 @@
 		return
 	}
 	sum.Version = table.Version
-	path, _, _ := strings.Cut(req.RequestURI, "?")
-	route := table.Lookup(r.Host, path)
+	route := table.Lookup(r.Host, req.Path())
 	if route == nil {
 		sum.refuse(w, http.StatusNotFound, "no route has this host and path", 0)
 		return
@@ -270,29 +273,51 @@
 			return
 		}
 	}
-	j := s.newJob(set, route, req, sum.Arrived)
+	if route.IsScatter() {
+		s.serveSearch(ctx, w, set, route, req, f, sum)
+		return
+	}
+	j := s.newJob(set, route, req, sum.Arrived, dispatch.AnswerBy(sum.Arrived, route.Objective))
+	reason := s.runJob(ctx, j, f, sum)
+	reply := j.units[0].finalReply()
+	switch {
+	case reason == endCallerLeft:
+		// The caller has left, so there is nobody to send a response to; only close the connection.
+		panic(http.ErrAbortHandler)
+	case reply != nil:
+		s.writeReply(w, reply, sum)
+	default:
+		status, wait := j.failureStatus(reason)
+		sum.refuse(w, status, reason.String(), wait)
+	}
+}
+
+// runJob runs a job, and records its result in the summary, the counters and the crash guard.
+func (s *Service) runJob(ctx context.Context, j *job, f crashguard.Fingerprint, sum *Summary) endReason {
 	reason := j.run(ctx)
 	sum.fill(j, reason)
 	s.reportToGuard(j, f, reason)
+	s.countRequest(reason == endFailed || reason == endDeadline)
+	return reason
+}
+
+func (s *Service) countRequest(unserved bool) {
 	s.requests.Add(1)
-	if reason == endFailed || reason == endDeadline {
+	if unserved {
 		s.unserved.Add(1)
 	}
+}
+
+// failureStatus returns the status of a response to a request that was not served, and the time after which the caller
+// may retry; 0 if none is stated.
+func (j *job) failureStatus(reason endReason) (status int, wait time.Duration) {
 	switch {
-	case reason == endCallerLeft:
-		// The caller has left, so there is nobody to send a response to; only close the connection.
-		panic(http.ErrAbortHandler)
-	case reason == endAnswered && route.IsScatter():
-		s.writeMerged(w, j, sum)
-	case j.units[0].finalReply() != nil && !route.IsScatter():
-		s.writeReply(w, j.units[0].finalReply(), sum)
 	case !j.mayHaveRun():
-		sum.refuse(w, http.StatusServiceUnavailable, reason.String(), retryNoTarget)
+		return http.StatusServiceUnavailable, retryNoTarget
 	case reason == endDeadline:
-		sum.refuse(w, http.StatusGatewayTimeout, reason.String(), 0)
-	default:
-		sum.refuse(w, http.StatusBadGateway, reason.String(), 0)
+		return http.StatusGatewayTimeout, 0
 	}
+	return http.StatusBadGateway, 0
 }
 
 // writeReply passes a target's reply on to the caller.
@@ -305,26 +330,6 @@
 	_, sum.WriteErr = w.Write(reply.Body)
 }
 
-// writeMerged merges the shards' replies into one response.
-func (s *Service) writeMerged(w http.ResponseWriter, j *job, sum *Summary) {
-	top := newTopRecords(j.route.TopRecords)
-	var signatures []string
-	for i := range j.units {
-		if reply := j.units[i].reply; reply != nil {
-			top.add(reply.Body)
-			signatures = append(signatures, reply.Signature)
-		}
-	}
-	body := top.sorted()
-	h := w.Header()
-	s.Protocol.SetCoverage(h, signatures, len(j.units)-len(signatures))
-	h.Set("Content-Type", "application/octet-stream")
-	h.Set("Content-Length", strconv.Itoa(len(body)))
-	sum.Status, sum.Covered = http.StatusOK, len(signatures)
-	w.WriteHeader(http.StatusOK)
-	_, sum.WriteErr = w.Write(body)
-}
-
 // refuse responds with a status of this VM's own. A positive wait, lengthened at random, is sent as Retry-After.
 func (sum *Summary) refuse(w http.ResponseWriter, status int, reason string, wait time.Duration) {
 	sum.Status, sum.Reason = status, reason
--- a/forward/summary.go
+++ b/forward/summary.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"teaselbank.example/teaselbank/ident"
 	"teaselbank.example/teaselbank/topology"
 )
 
@@ -26,6 +27,9 @@
 	Late bool
 	// CallerLeft reports that the caller closed its connection.
 	CallerLeft bool
+	// Entry is the VM that received the caller's request, if this VM ran the search for it. Coordinator is the VM that ran
+	// the search for this one.
+	Entry, Coordinator ident.VMID
 	// Attempts lists the units that were sent more than once or got no successful reply.
 	Attempts []UnitAttempts
 }
--- a/gen/teaselbank/peer/v1/peerv1connect/peer.connect.go
+++ b/gen/teaselbank/peer/v1/peerv1connect/peer.connect.go
@@ -35,6 +35,8 @@
 	FeedServiceName = "teaselbank.peer.v1.FeedService"
 	// CrashServiceName is the fully-qualified name of the CrashService service.
 	CrashServiceName = "teaselbank.peer.v1.CrashService"
+	// CoordinatorServiceName is the fully-qualified name of the CoordinatorService service.
+	CoordinatorServiceName = "teaselbank.peer.v1.CoordinatorService"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -74,6 +76,12 @@
 	CrashServiceReportProcedure = "/teaselbank.peer.v1.CrashService/Report"
 	// CrashServiceRefuseProcedure is the fully-qualified name of the CrashService's Refuse RPC.
 	CrashServiceRefuseProcedure = "/teaselbank.peer.v1.CrashService/Refuse"
+	// CoordinatorServiceAvailableProcedure is the fully-qualified name of the CoordinatorService's
+	// Available RPC.
+	CoordinatorServiceAvailableProcedure = "/teaselbank.peer.v1.CoordinatorService/Available"
+	// CoordinatorServiceSearchProcedure is the fully-qualified name of the CoordinatorService's Search
+	// RPC.
+	CoordinatorServiceSearchProcedure = "/teaselbank.peer.v1.CoordinatorService/Search"
 )
 
 // RelayServiceClient is a client for the teaselbank.peer.v1.RelayService service.
@@ -736,3 +744,106 @@
 func (UnimplementedCrashServiceHandler) Refuse(context.Context, *connect.Request[v1.QuarantineRequest]) (*connect.Response[v1.QuarantineResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("teaselbank.peer.v1.CrashService.Refuse is not implemented"))
 }
+
+// CoordinatorServiceClient is a client for the teaselbank.peer.v1.CoordinatorService service.
+type CoordinatorServiceClient interface {
+	// Available reports whether the called VM would run a search now. A VM calls it before Search, so that a search is not
+	// sent to a VM that does not reply, and again while a search takes long.
+	Available(context.Context, *connect.Request[v1.AvailableRequest]) (*connect.Response[v1.AvailableResponse], error)
+	// Search runs a search and returns its response.
+	Search(context.Context, *connect.Request[v1.SearchRequest]) (*connect.Response[v1.SearchResponse], error)
+}
+
+// NewCoordinatorServiceClient constructs a client for the teaselbank.peer.v1.CoordinatorService
+// service. By default, it uses the Connect protocol with the binary Protobuf Codec, asks for
+// gzipped responses, and sends uncompressed requests. To use the gRPC or gRPC-Web protocols, supply
+// the connect.WithGRPC() or connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewCoordinatorServiceClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) CoordinatorServiceClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	coordinatorServiceMethods := v1.File_teaselbank_peer_v1_peer_proto.Services().ByName("CoordinatorService").Methods()
+	return &coordinatorServiceClient{
+		available: connect.NewClient[v1.AvailableRequest, v1.AvailableResponse](
+			httpClient,
+			baseURL+CoordinatorServiceAvailableProcedure,
+			connect.WithSchema(coordinatorServiceMethods.ByName("Available")),
+			connect.WithClientOptions(opts...),
+		),
+		search: connect.NewClient[v1.SearchRequest, v1.SearchResponse](
+			httpClient,
+			baseURL+CoordinatorServiceSearchProcedure,
+			connect.WithSchema(coordinatorServiceMethods.ByName("Search")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// coordinatorServiceClient implements CoordinatorServiceClient.
+type coordinatorServiceClient struct {
+	available *connect.Client[v1.AvailableRequest, v1.AvailableResponse]
+	search    *connect.Client[v1.SearchRequest, v1.SearchResponse]
+}
+
+// Available calls teaselbank.peer.v1.CoordinatorService.Available.
+func (c *coordinatorServiceClient) Available(ctx context.Context, req *connect.Request[v1.AvailableRequest]) (*connect.Response[v1.AvailableResponse], error) {
+	return c.available.CallUnary(ctx, req)
+}
+
+// Search calls teaselbank.peer.v1.CoordinatorService.Search.
+func (c *coordinatorServiceClient) Search(ctx context.Context, req *connect.Request[v1.SearchRequest]) (*connect.Response[v1.SearchResponse], error) {
+	return c.search.CallUnary(ctx, req)
+}
+
+// CoordinatorServiceHandler is an implementation of the teaselbank.peer.v1.CoordinatorService
+// service.
+type CoordinatorServiceHandler interface {
+	// Available reports whether the called VM would run a search now. A VM calls it before Search, so that a search is not
+	// sent to a VM that does not reply, and again while a search takes long.
+	Available(context.Context, *connect.Request[v1.AvailableRequest]) (*connect.Response[v1.AvailableResponse], error)
+	// Search runs a search and returns its response.
+	Search(context.Context, *connect.Request[v1.SearchRequest]) (*connect.Response[v1.SearchResponse], error)
+}
+
+// NewCoordinatorServiceHandler builds an HTTP handler from the service implementation. It returns
+// the path on which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewCoordinatorServiceHandler(svc CoordinatorServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	coordinatorServiceMethods := v1.File_teaselbank_peer_v1_peer_proto.Services().ByName("CoordinatorService").Methods()
+	coordinatorServiceAvailableHandler := connect.NewUnaryHandler(
+		CoordinatorServiceAvailableProcedure,
+		svc.Available,
+		connect.WithSchema(coordinatorServiceMethods.ByName("Available")),
+		connect.WithHandlerOptions(opts...),
+	)
+	coordinatorServiceSearchHandler := connect.NewUnaryHandler(
+		CoordinatorServiceSearchProcedure,
+		svc.Search,
+		connect.WithSchema(coordinatorServiceMethods.ByName("Search")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/teaselbank.peer.v1.CoordinatorService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case CoordinatorServiceAvailableProcedure:
+			coordinatorServiceAvailableHandler.ServeHTTP(w, r)
+		case CoordinatorServiceSearchProcedure:
+			coordinatorServiceSearchHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedCoordinatorServiceHandler returns CodeUnimplemented from all methods.
+type UnimplementedCoordinatorServiceHandler struct{}
+
+func (UnimplementedCoordinatorServiceHandler) Available(context.Context, *connect.Request[v1.AvailableRequest]) (*connect.Response[v1.AvailableResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("teaselbank.peer.v1.CoordinatorService.Available is not implemented"))
+}
+
+func (UnimplementedCoordinatorServiceHandler) Search(context.Context, *connect.Request[v1.SearchRequest]) (*connect.Response[v1.SearchResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("teaselbank.peer.v1.CoordinatorService.Search is not implemented"))
+}
--- a/kernel/order.go
+++ b/kernel/order.go
@@ -30,6 +30,7 @@
 	"membership",
 	"topology",
 	"crashguard",
+	"coordinator",
 	"forwarding",
 	"peerapi",
 	"siteapi",
--- a/leafconn/leafconn.go
+++ b/leafconn/leafconn.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"net/http"
+	"strings"
 	"time"
 
 	"teaselbank.example/teaselbank/ident"
@@ -25,6 +26,12 @@
 	Deadline time.Time
 }
 
+// Path returns the request target without the query.
+func (r *Request) Path() string {
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	return path
+}
+
 // Disposition is what a target did with a request.
 type Disposition int
 
--- a/membership/view.go
+++ b/membership/view.go
@@ -28,6 +28,8 @@
 	// Address is the IP address and port of the peer protocol.
 	Address     string
 	Incarnation ident.Incarnation
+	// Capacity is the VM's share of a processor in thousandths of a core; 0 if unknown.
+	Capacity int
 	// Sequence is raised by the member, within its incarnation, each time it announces its own state, for example to
 	// refute an update or to leave.
 	Sequence uint64
--- a/membership/wire/connect.go
+++ b/membership/wire/connect.go
@@ -12,6 +12,7 @@
 	peerv1 "teaselbank.example/teaselbank/gen/teaselbank/peer/v1"
 	"teaselbank.example/teaselbank/gen/teaselbank/peer/v1/peerv1connect"
 	"teaselbank.example/teaselbank/membership"
+	"teaselbank.example/teaselbank/peerhttp"
 )
 
 // Limits of messages and calls.
@@ -33,10 +34,7 @@
 // NewHTTPClient returns the HTTP client for probes. It uses HTTP/2 without TLS, and without pings because each call has
 // a short timeout.
 func NewHTTPClient() *http.Client {
-	protocols := new(http.Protocols)
-	protocols.SetUnencryptedHTTP2(true)
-	return &http.Client{Transport: &http.Transport{
-		DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext, Protocols: protocols, IdleConnTimeout: idleTimeout}}
+	return peerhttp.NewClient(peerhttp.Options{Dial: (&net.Dialer{Timeout: dialTimeout}).DialContext, IdleTimeout: idleTimeout})
 }
 
 // Transport implements membership.Transport with Connect RPC calls.
--- a/membership/wire/wire.go
+++ b/membership/wire/wire.go
@@ -13,7 +13,7 @@
 // sending VM.
 func Member(m membership.Member) *peerv1.Member {
 	p := &peerv1.Member{Id: string(m.ID), Zone: string(m.Zone), Address: m.Address, Incarnation: m.Incarnation.Token,
-		Sequence: m.Sequence, State: string(m.State)}
+		Sequence: m.Sequence, State: string(m.State), Capacity: uint32(max(0, m.Capacity))} //nolint:gosec // thousandths of a core
 	if !m.Incarnation.Started.IsZero() {
 		p.StartedNs = m.Incarnation.Started.UnixNano()
 	}
@@ -24,7 +24,7 @@
 // define, becomes suspect, because a member of any version can refute a suspicion.
 func FromMember(p *peerv1.Member) membership.Member {
 	m := membership.Member{ID: ident.VMID(p.GetId()), Zone: ident.Zone(p.GetZone()), Address: p.GetAddress(),
-		Sequence: p.GetSequence(), State: parseState(p.GetState())}
+		Sequence: p.GetSequence(), State: parseState(p.GetState()), Capacity: int(p.GetCapacity())}
 	m.Incarnation.Token = p.GetIncarnation()
 	if p.GetStartedNs() != 0 {
 		m.Incarnation.Started = time.Unix(0, p.GetStartedNs())
--- a/plugin/all/all.go
+++ b/plugin/all/all.go
@@ -7,6 +7,7 @@
 	_ "teaselbank.example/teaselbank/plugin/callerapi"
 	_ "teaselbank.example/teaselbank/plugin/callerfront"
 	_ "teaselbank.example/teaselbank/plugin/configuration"
+	_ "teaselbank.example/teaselbank/plugin/coordinator"
 	_ "teaselbank.example/teaselbank/plugin/crashguard"
 	_ "teaselbank.example/teaselbank/plugin/forwarding"
 	_ "teaselbank.example/teaselbank/plugin/logging"
--- /dev/null
+++ b/plugin/coordinator/coordinator.go
@@ -0,0 +1,69 @@
+// Package coordinator is the plug-in that hands searches over to the coordinators of this VM's zone and runs searches of
+// other VMs if this VM is a coordinator.
+package coordinator
+
+import (
+	"time"
+
+	"github.com/charmbracelet/log"
+	"go.opentelemetry.io/otel/metric"
+	"go.uber.org/fx"
+
+	"teaselbank.example/teaselbank/coordinator"
+	"teaselbank.example/teaselbank/delegate"
+	"teaselbank.example/teaselbank/forward"
+	"teaselbank.example/teaselbank/gen/teaselbank/peer/v1/peerv1connect"
+	"teaselbank.example/teaselbank/kernel"
+	"teaselbank.example/teaselbank/leafconn"
+	"teaselbank.example/teaselbank/lifecycle"
+	"teaselbank.example/teaselbank/membership"
+	"teaselbank.example/teaselbank/observe"
+	"teaselbank.example/teaselbank/plugin/peerapi"
+	"teaselbank.example/teaselbank/site"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{Name: "coordinator", Options: func() fx.Option {
+		return fx.Options(
+			fx.Provide(newPace, newClient),
+			fx.Provide(func(c *delegate.Client) forward.Coordinators { return c }),
+			fx.Provide(fx.Annotate(newHandler, fx.ResultTags(peerapi.HandlerGroup))),
+			fx.Invoke(registerMetrics),
+		)
+	}})
+}
+
+func newPace(s *site.Settings) *coordinator.Pace { return coordinator.NewPace(s.Capacity) }
+
+func newClient(pace *coordinator.Pace, viewer membership.Viewer, dialer leafconn.Dialer, failures membership.FailureReporter, logger *log.Logger) *delegate.Client {
+	return delegate.NewClient(delegate.Options{Roles: func() coordinator.Roles { return Roles(viewer.View(), time.Now()) }, Pace: pace,
+		Dial: dialer.DialContext, Failures: failures, Logger: logger.With("component", "coordinator")})
+}
+
+// LostVMRetention is how long a VM that is no longer usable is still counted, because it may only be out of reach.
+const LostVMRetention = 10 * time.Second
+
+// Roles returns the roles of the VMs in a view.
+func Roles(view *membership.View, now time.Time) coordinator.Roles {
+	return coordinator.Assign(view, func(m membership.Member) bool { return now.Sub(m.Since) <= LostVMRetention })
+}
+
+func newHandler(service *forward.Service, pace *coordinator.Pace, state *lifecycle.State) peerapi.Handler {
+	path, h := peerv1connect.NewCoordinatorServiceHandler(&delegate.Server{Runner: service, Pace: pace, Ready: state.Ready})
+	return peerapi.Handler{Path: path, Handler: h}
+}
+
+// registerMetrics exposes the counters of searches that were handed over; docs/operations/metrics.md lists them.
+func registerMetrics(c *delegate.Client, meter metric.Meter) error {
+	count := func(which func(handedOver, notStarted, lost uint64) uint64) func() int64 {
+		return observe.Uint64(func() uint64 { return which(c.Counts()) })
+	}
+	return observe.Counters(meter,
+		observe.Instrument{Name: "searches_handed_over", Description: "searches that a coordinator ran for this VM",
+			Read: count(func(handedOver, _, _ uint64) uint64 { return handedOver })},
+		observe.Instrument{Name: "searches_not_handed_over", Description: "searches that this VM ran although its zone has coordinators",
+			Read: count(func(_, notStarted, _ uint64) uint64 { return notStarted })},
+		observe.Instrument{Name: "searches_lost_at_coordinator", Description: "searches whose coordinator no longer replied",
+			Read: count(func(_, _, lost uint64) uint64 { return lost })},
+	)
+}
--- a/plugin/forwarding/forwarding.go
+++ b/plugin/forwarding/forwarding.go
@@ -13,6 +13,7 @@
 	"github.com/charmbracelet/log"
 	"go.uber.org/fx"
 
+	"teaselbank.example/teaselbank/coordinator"
 	"teaselbank.example/teaselbank/decisionlog"
 	"teaselbank.example/teaselbank/forward"
 	"teaselbank.example/teaselbank/ident"
@@ -20,6 +21,7 @@
 	"teaselbank.example/teaselbank/leafconn"
 	"teaselbank.example/teaselbank/lifecycle"
 	"teaselbank.example/teaselbank/membership"
+	plugincoordinator "teaselbank.example/teaselbank/plugin/coordinator"
 	plugintopology "teaselbank.example/teaselbank/plugin/topology"
 	"teaselbank.example/teaselbank/site"
 	"teaselbank.example/teaselbank/topology"
@@ -37,8 +39,6 @@
 	// assumedVMs is the minimum number of VMs that the fleet is assumed to have until viewSettleTime has passed, a
 	// quarter of them in each known zone.
 	assumedVMs = 24
-	// lostVMRetention is how long a VM that is no longer usable is still counted, because it may only be unreachable.
-	lostVMRetention = 10 * time.Second
 )
 
 func init() {
@@ -70,9 +70,9 @@
 }
 
 func newService(s *site.Settings, protocol forward.Protocol, dialer leafconn.Dialer, decisions *decisionlog.Log, state *lifecycle.State,
-	guard forward.CrashGuard, inst *instruments) *forward.Service {
+	guard forward.CrashGuard, coordinators forward.Coordinators, pace *coordinator.Pace, inst *instruments) *forward.Service {
 	return forward.New(forward.Options{VMID: s.VMID, Zone: s.Zone, Regions: s.Regions, Protocol: protocol, Dialer: dialer,
-		Extra: s.Extra, Cold: s.Cold, Guard: guard, Report: reporter(decisions, inst), CloseConnections: func() bool { return !state.Ready() }, Refusing: state.Draining})
+		Extra: s.Extra, Cold: s.Cold, Guard: guard, Coordinators: coordinators, Pace: pace, Report: reporter(decisions, inst), CloseConnections: func() bool { return !state.Ready() }, Refusing: state.Draining})
 }
 
 // startLoops adds hooks that keep the service's targets and the VM's readiness up to date and log the connections.
@@ -133,14 +133,22 @@
 }
 
 func sameFleet(a, b forward.FleetView) bool {
-	return a.All == b.All && maps.Equal(a.InZone, b.InZone) && slices.Equal(a.Members, b.Members)
+	return a.All == b.All && maps.Equal(a.InZone, b.InZone) && slices.Equal(a.Members, b.Members) &&
+		maps.Equal(a.Coordinators, b.Coordinators) && slices.Equal(a.LocalCoordinators, b.LocalCoordinators)
 }
 
 // fleetView returns the usable VMs of the view, and upper bounds of the number of VMs that share the targets.
 func fleetView(view *membership.View, zone ident.Zone, now, start time.Time) forward.FleetView {
-	fleet := forward.FleetView{InZone: map[ident.Zone]int{}}
+	roles := plugincoordinator.Roles(view, now)
+	fleet := forward.FleetView{InZone: map[ident.Zone]int{}, Coordinators: roles.Coordinators, Coordinator: roles.Self}
+	if roles.Self {
+		fleet.LocalCoordinators = append(fleet.LocalCoordinators, view.Self.ID)
+	}
+	for _, m := range roles.Local {
+		fleet.LocalCoordinators = append(fleet.LocalCoordinators, m.ID)
+	}
 	for _, m := range view.Members {
-		if !m.Usable() && now.Sub(m.Since) > lostVMRetention {
+		if !m.Usable() && now.Sub(m.Since) > plugincoordinator.LostVMRetention {
 			continue
 		}
 		fleet.All++
@@ -158,6 +166,7 @@
 			fleet.InZone[z] = max(fleet.InZone[z], assumedVMs/4)
 		}
 	}
+	fleet.ExtraShare = roles.ShareOfBound(fleet.All)
 	return fleet
 }
 
@@ -190,6 +199,12 @@
 		if sum.CallerLeft {
 			fields = append(fields, "caller_left", true)
 		}
+		if sum.Entry != "" {
+			fields = append(fields, "entry", sum.Entry)
+		}
+		if sum.Coordinator != "" {
+			fields = append(fields, "coordinator", sum.Coordinator)
+		}
 		if sum.Reason != "" {
 			fields = append(fields, "reason", sum.Reason)
 		}
--- a/plugin/membership/membership.go
+++ b/plugin/membership/membership.go
@@ -25,7 +25,7 @@
 func init() {
 	kernel.Register(kernel.Plugin{Name: "membership", Options: func() fx.Option {
 		return fx.Options(
-			fx.Provide(newDetector, newTransport, func(t *wire.Transport) *wire.Traffic { return t.Traffic }),
+			fx.Provide(fx.Annotate(newDetector, fx.ParamTags("", "", "", `optional:"true"`)), newTransport, func(t *wire.Transport) *wire.Traffic { return t.Traffic }),
 			fx.Provide(func(d *Detector) membership.Viewer { return d }),
 			fx.Provide(func(d *Detector) membership.FailureReporter { return d }),
 			fx.Provide(func(d *Detector) lifecycle.Leaver { return d }),
@@ -47,8 +47,12 @@
 
 func newTransport() *wire.Transport { return wire.NewTransport(wire.NewHTTPClient()) }
 
-func newDetector(s *settings.Settings, clock clockwork.Clock, transport *wire.Transport) *Detector {
-	self := membership.Member{ID: ident.VMID(s.VMID), Zone: ident.Zone(s.Zone), Address: s.PeerListen,
+// Capacity is this VM's share of a processor in thousandths of a core, which peers learn with its membership; 0 if
+// unknown.
+type Capacity int
+
+func newDetector(s *settings.Settings, clock clockwork.Clock, transport *wire.Transport, capacity Capacity) *Detector {
+	self := membership.Member{ID: ident.VMID(s.VMID), Zone: ident.Zone(s.Zone), Address: s.PeerListen, Capacity: int(capacity),
 		Incarnation: ident.NewIncarnation(clock.Now()), State: membership.Alive}
 	d := &Detector{clock: clock, wake: make(chan time.Time, 1)}
 	d.Node = membership.NewNode(membership.Options{Self: self, Clock: clock, Transport: transport,
--- a/relay/peers.go
+++ b/relay/peers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -15,6 +14,7 @@
 
 	"teaselbank.example/teaselbank/gen/teaselbank/peer/v1/peerv1connect"
 	"teaselbank.example/teaselbank/outcome"
+	"teaselbank.example/teaselbank/peerhttp"
 )
 
 // Timeouts of connections between VMs.
@@ -33,32 +33,10 @@
 // pings detect a connection whose packets are silently dropped, on which a request would otherwise never fail. The client
 // never sends a request twice.
 func NewPeerHTTPClient() *http.Client {
-	protocols := new(http.Protocols)
-	protocols.SetUnencryptedHTTP2(true)
-	return &http.Client{Transport: sendOnce{&http.Transport{
-		DialContext: (&net.Dialer{Timeout: peerDialTimeout}).DialContext,
-		Protocols:   protocols,
-		HTTP2:       &http.HTTP2Config{SendPingTimeout: peerPingAfter, PingTimeout: peerPingTimeout},
-	}}}
+	return peerhttp.NewClient(peerhttp.Options{Dial: (&net.Dialer{Timeout: peerDialTimeout}).DialContext,
+		PingAfter: peerPingAfter, PingTimeout: peerPingTimeout, SendOnce: true})
 }
 
-// sendOnce keeps the transport from resending a request after a refused stream or GOAWAY. The transport resends only if
-// it can rewind the body, which the GetBody function that connect-go sets would allow.
-type sendOnce struct{ next http.RoundTripper }
-
-// RoundTrip implements http.RoundTripper.
-func (s sendOnce) RoundTrip(r *http.Request) (*http.Response, error) {
-	once := *r
-	once.GetBody = nil
-	if r.Body != nil && r.Body != http.NoBody {
-		once.Body = onceBody{r.Body}
-	}
-	return s.next.RoundTrip(&once)
-}
-
-// onceBody hides the concrete type of a request body, so that net/http cannot derive a way to rewind it.
-type onceBody struct{ io.ReadCloser }
-
 // Peers holds one relay client for each peer address. It is safe for concurrent use.
 type Peers struct {
 	http    *http.Client
--- a/routing/table.go
+++ b/routing/table.go
@@ -93,13 +93,15 @@
 	Limits   Limits
 
 	hosts  map[string]map[string]*Route
+	shards map[ident.ServiceID]bool
 	routes int
 }
 
 // NewTable returns a table of the routes and sets their versions. The routes must not change afterwards. Of two routes
 // with the same host and prefix, the later one is used.
 func NewTable(version uint64, routes []*Route, services map[ident.ServiceID]Service, limits Limits) *Table {
-	t := &Table{Version: version, Services: services, Limits: limits, hosts: map[string]map[string]*Route{}, routes: len(routes)}
+	t := &Table{Version: version, Services: services, Limits: limits, hosts: map[string]map[string]*Route{},
+		shards: map[ident.ServiceID]bool{}, routes: len(routes)}
 	for _, r := range routes {
 		r.Version = version
 		host := canonicalHost(r.Host)
@@ -107,10 +109,16 @@
 			t.hosts[host] = map[string]*Route{}
 		}
 		t.hosts[host][r.Prefix] = r
+		for _, shard := range r.Shards {
+			t.shards[shard] = true
+		}
 	}
 	return t
 }
 
+// IsShard reports whether a route searches over the service as one of its shards.
+func (t *Table) IsShard(service ident.ServiceID) bool { return t.shards[service] }
+
 // RouteCount returns the number of routes that the table was built from.
 func (t *Table) RouteCount() int { return t.routes }
 
--- a/site/site.go
+++ b/site/site.go
@@ -28,6 +28,8 @@
 	// Source is the IP address and port of the external store.
 	Source string
 
+	// Capacity is the VM's share of a processor in thousandths of a core; 0 if not stated.
+	Capacity       int
 	MemoryBytes    int64
 	MaxDescriptors int
 	// StopBound is the time from the stop signal until the process is killed.
