Send a search to the shards of another zone through a VM there

Bytes between zones are the largest price of the large site.

Ruled out: handing a search over to another zone whole (any zone lacks targets of two shards in five there).

Change: a VM collects its first sends to a zone that has coordinators and has one of them send them (SendAll). The entry VM or coordinator still chooses the targets, hedges and counts every target against the route's limit; the relay sends once to each named target, over connections that it has open, and returns results in batches whose records are merged. A batch is used as a whole: the reply to a hedge gives way to a relayed reply of the same shard that arrives later, since its records are part of the batch (TestHedgedAndRelayedShardCountsOnce, which fails without that rule). A relay that fails before it sent anything costs nothing; after that its shards count as possibly run. A coordinator answers 20 ms before the objective, not 22.

--- a/coordinator/roles.go
+++ b/coordinator/roles.go
@@ -23,6 +23,8 @@
 	Self bool
 	// Local are the coordinators of this VM's zone that are known to be alive, other than this VM.
 	Local []membership.Member
+	// Remote are the coordinators of the other zones that are known to be alive.
+	Remote map[ident.Zone][]membership.Member
 	// Coordinators counts the coordinators of each zone. A zone whose VMs are all of a similar size has none.
 	Coordinators map[ident.Zone]int
 	// VMs counts all VMs, coordinators included.
@@ -32,7 +34,7 @@
 // Assign returns the roles of a fleet. counted reports whether a member still counts although it is not usable, because
 // it may only be out of reach; such a member is no coordinator to send searches to.
 func Assign(view *membership.View, counted func(membership.Member) bool) Roles {
-	r := Roles{Coordinators: map[ident.Zone]int{}}
+	r := Roles{Coordinators: map[ident.Zone]int{}, Remote: map[ident.Zone][]membership.Member{}}
 	ranges := map[ident.Zone]capacityRange{}
 	for _, m := range view.Members {
 		if m.Usable() || counted(m) {
@@ -48,8 +50,11 @@
 		switch {
 		case m.ID == view.Self.ID:
 			r.Self = true
-		case m.Zone == view.Self.Zone && m.State == membership.Alive && !m.Indirect:
+		case m.State != membership.Alive || m.Indirect:
+		case m.Zone == view.Self.Zone:
 			r.Local = append(r.Local, m)
+		default:
+			r.Remote[m.Zone] = append(r.Remote[m.Zone], m)
 		}
 	}
 	return r
--- a/delegate/client.go
+++ b/delegate/client.go
@@ -21,6 +21,7 @@
 	peerv1 "teaselbank.example/teaselbank/gen/teaselbank/peer/v1"
 	"teaselbank.example/teaselbank/gen/teaselbank/peer/v1/peerv1connect"
 	"teaselbank.example/teaselbank/ident"
+	"teaselbank.example/teaselbank/leafconn"
 	"teaselbank.example/teaselbank/membership"
 	"teaselbank.example/teaselbank/peerhttp"
 )
@@ -56,8 +57,8 @@
 
 // Options configures a Client.
 type Options struct {
-	// Roles returns the current division of the fleet.
-	Roles func() coordinator.Roles
+	// Roles returns the current division of the fleet, which must not change afterwards.
+	Roles func() *coordinator.Roles
 	// Pace is that of this VM.
 	Pace *coordinator.Pace
 	Dial Dial
@@ -66,7 +67,8 @@
 	Logger   *log.Logger
 }
 
-// Client hands searches over to the coordinators of this VM's zone. It implements forward.Coordinators.
+// Client hands searches over to the coordinators of this VM's zone, and sends requests to targets of other zones through
+// the coordinators there. It implements forward.Coordinators and forward.Relays.
 type Client struct {
 	Options
 
@@ -102,7 +104,7 @@
 	if roles.Self || len(roles.Local) == 0 {
 		return nil, forward.ErrNotStarted
 	}
-	p := c.reserve(ctx, &roles, s.Version)
+	p := c.reserve(ctx, roles, s.Version)
 	if p == nil {
 		c.notStarted.Add(1)
 		return nil, forward.ErrNotStarted
@@ -150,21 +152,17 @@
 }
 
 // choose returns the coordinator to try, with one more search in flight, or nil if all are avoided.
-func (c *Client) choose(local []membership.Member) *peer {
-	now := time.Now()
+func (c *Client) choose(members []membership.Member) *peer {
+	if len(members) == 0 {
+		return nil
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	candidates := make([]coordinator.Candidate, len(local))
-	for i, m := range local {
-		if p := c.peers[m.ID]; p != nil && p.address == m.Address {
-			candidates[i] = coordinator.Candidate{InFlight: p.inFlight, AvoidUntil: p.avoidUntil}
-		}
-	}
-	at := coordinator.Choose(candidates, now, rand.IntN(len(local)))
+	at := coordinator.Choose(c.candidates(members), time.Now(), rand.IntN(len(members)))
 	if at < 0 {
 		return nil
 	}
-	m := local[at]
+	m := members[at]
 	p := c.peers[m.ID]
 	if p == nil || p.address != m.Address {
 		p = c.newPeer(m.ID, m.Address)
@@ -174,6 +172,17 @@
 	return p
 }
 
+// candidates returns the members as candidates; c.mu must be held.
+func (c *Client) candidates(members []membership.Member) []coordinator.Candidate {
+	candidates := make([]coordinator.Candidate, len(members))
+	for i, m := range members {
+		if p := c.peers[m.ID]; p != nil && p.address == m.Address {
+			candidates[i] = coordinator.Candidate{InFlight: p.inFlight, AvoidUntil: p.avoidUntil}
+		}
+	}
+	return candidates
+}
+
 // newPeer returns a peer with a client of its own, so that its connection can be replaced without those of others.
 func (c *Client) newPeer(id ident.VMID, address string) *peer {
 	client := peerhttp.NewClient(peerhttp.Options{Dial: c.Dial, IdleTimeout: idleTimeout, SendOnce: true})
@@ -208,6 +217,48 @@
 	c.Failures.ReportFailure(p.id)
 }
 
+// Available implements forward.Relays.
+func (c *Client) Available(zone ident.Zone) bool {
+	roles, now := c.Roles(), time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return coordinator.Choose(c.candidates(roles.Remote[zone]), now, 0) >= 0
+}
+
+// SendAll implements forward.Relays.
+func (c *Client) SendAll(ctx context.Context, zone ident.Zone, r *forward.Relay, deliver func(*forward.RelayBatch)) error {
+	roles := c.Roles()
+	p := c.choose(roles.Remote[zone])
+	if p == nil {
+		return fmt.Errorf("%w: no VM of zone %s relays", leafconn.ErrNotSent, zone)
+	}
+	defer c.release(p)
+	var maybeSent atomic.Bool
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { maybeSent.Store(true) }})
+	err := receiveAll(traced, p, r, deliver)
+	if err != nil && ctx.Err() == nil {
+		c.failed(p, err)
+	}
+	if err != nil && !maybeSent.Load() {
+		return fmt.Errorf("%w: %w", leafconn.ErrNotSent, err)
+	}
+	return err
+}
+
+func receiveAll(ctx context.Context, p *peer, r *forward.Relay, deliver func(*forward.RelayBatch)) error {
+	stream, err := p.rpc.SendAll(ctx, connect.NewRequest(relayToMessage(r, time.Now())))
+	if err != nil {
+		return fmt.Errorf("call relay %s: %w", p.id, err)
+	}
+	for stream.Receive() {
+		deliver(batchFromMessage(stream.Msg()))
+	}
+	if err := errors.Join(stream.Err(), stream.Close()); err != nil {
+		return fmt.Errorf("receive from relay %s: %w", p.id, err)
+	}
+	return nil
+}
+
 // search has the coordinator run a search. It returns forward.ErrNotStarted only if no target can have the search.
 func (c *Client) search(ctx context.Context, p *peer, s *forward.Search) (*forward.SearchReply, error) {
 	ctx, cancel := context.WithDeadline(ctx, s.Request.Deadline.Add(deadlineGrace))
@@ -219,7 +270,7 @@
 	})
 	defer stopChecks()
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { maybeSent.Store(true) }})
-	resp, err := p.rpc.Search(traced, connect.NewRequest(requestToMessage(s, time.Now())))
+	resp, err := p.rpc.Search(traced, connect.NewRequest(searchToMessage(s, time.Now())))
 	switch {
 	case err != nil && !maybeSent.Load():
 		return nil, fmt.Errorf("%w: %w", forward.ErrNotStarted, err)
--- a/delegate/server.go
+++ b/delegate/server.go
@@ -15,6 +15,9 @@
 type Runner interface {
 	// RunSearch runs a search for another VM. Any error means that the search was not started.
 	RunSearch(ctx context.Context, s *forward.Search) (*forward.SearchReply, error)
+	// SendAll sends a request to targets for another VM and passes the results to deliver, which is called on the calling
+	// goroutine, until all sends have a result or the context ends.
+	SendAll(ctx context.Context, r *forward.Relay, deliver func(*forward.RelayBatch) error) error
 	// ConfigurationVersion returns the version of the configuration by which this VM routes; 0 if it has none.
 	ConfigurationVersion() uint64
 }
@@ -41,9 +44,14 @@
 
 // Search implements peerv1connect.CoordinatorServiceHandler.
 func (s *Server) Search(ctx context.Context, req *connect.Request[peerv1.SearchRequest]) (*connect.Response[peerv1.SearchResponse], error) {
-	reply, err := s.Runner.RunSearch(ctx, requestFromMessage(req.Msg, time.Now()))
+	reply, err := s.Runner.RunSearch(ctx, searchFromMessage(req.Msg, time.Now()))
 	if err != nil {
 		return connect.NewResponse(&peerv1.SearchResponse{NotStarted: err.Error()}), nil
 	}
 	return connect.NewResponse(replyToMessage(reply)), nil
 }
+
+// SendAll implements peerv1connect.CoordinatorServiceHandler.
+func (s *Server) SendAll(ctx context.Context, req *connect.Request[peerv1.SendAllRequest], stream *connect.ServerStream[peerv1.SendAllResponse]) error {
+	return s.Runner.SendAll(ctx, relayFromMessage(req.Msg, time.Now()), func(b *forward.RelayBatch) error { return stream.Send(batchToMessage(b)) })
+}
--- a/dispatch/answer.go
+++ b/dispatch/answer.go
@@ -6,9 +6,9 @@
 const (
 	// responseReserve is the part of the objective kept for this VM's own work and the way back to the caller.
 	responseReserve = 22 * time.Millisecond
-	// handBackReserve is the part of the objective that a coordinator keeps, in addition to responseReserve, for the way
-	// of the response to the entry VM.
-	handBackReserve = 6 * time.Millisecond
+	// coordinatorReserve is the part that a coordinator keeps for its work, the entry VM's and the way back. It is smaller
+	// than responseReserve although the way is longer, because a coordinator has more processor time to merge replies.
+	coordinatorReserve = 20 * time.Millisecond
 	// maxReserveShare limits the reserve to this share of a short objective.
 	maxReserveShare = 0.4
 	// minHedgeShare is the share of the objective before which no request is hedged. An earlier hedge would spend the
@@ -22,15 +22,19 @@
 // AnswerBy returns the time by which a response must be sent to reach the caller within the objective. An objective of
 // 0 stands for the default.
 func AnswerBy(arrived time.Time, objective time.Duration) time.Time {
+	return answerBy(arrived, objective, responseReserve)
+}
+
+func answerBy(arrived time.Time, objective, reserve time.Duration) time.Time {
 	if objective <= 0 {
 		objective = defaultObjective
 	}
-	return arrived.Add(objective - min(responseReserve, fraction(objective, maxReserveShare)))
+	return arrived.Add(objective - min(reserve, fraction(objective, maxReserveShare)))
 }
 
 // AnswerByAtCoordinator is AnswerBy for a search that this VM runs for another one.
 func AnswerByAtCoordinator(arrived time.Time, objective time.Duration) time.Time {
-	return AnswerBy(arrived, objective).Add(-handBackReserve)
+	return answerBy(arrived, objective, coordinatorReserve)
 }
 
 // HedgeDelay returns how long to wait for the reply to a send before the request is hedged. An objective of 0 stands for
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -8,6 +8,8 @@
 	defaultCrossZoneRTT = 8 * time.Millisecond
 	// crossZonePenalty is the cost of traffic between zones in addition to its delay.
 	crossZonePenalty = 3 * time.Millisecond
+	// zoneOrderStep is the cost of each place in the request's order of zones.
+	zoneOrderStep = 2 * time.Millisecond
 	// A refusal or a failure loses failureFactor median latencies plus failureCost.
 	failureFactor = 4
 	failureCost   = 40 * time.Millisecond
@@ -33,6 +35,9 @@
 	RanksFirst bool
 	// Sharers is how many VMs are assumed to put the same load on the target as this one.
 	Sharers int
+	// ZoneOrder is the place of the target's zone, from 0, in the order in which the request prefers zones of equal
+	// distance, so that its sends to other zones concentrate on few of them.
+	ZoneOrder int
 	// Slots is how many requests the target runs at once; 0 if unknown.
 	Slots int
 	// Cold reports that the target is warming up, Leaving that it is shutting down.
@@ -74,13 +79,14 @@
 }
 
 func (c *Candidate) zoneCost() time.Duration {
+	order := time.Duration(c.ZoneOrder) * zoneOrderStep
 	switch {
 	case c.Local:
 		return 0
 	case c.Load.RTT > 0:
-		return c.Load.RTT + crossZonePenalty
+		return c.Load.RTT + crossZonePenalty + order
 	}
-	return defaultCrossZoneRTT + crossZonePenalty
+	return defaultCrossZoneRTT + crossZonePenalty + order
 }
 
 // queueCost estimates the wait for a slot, assuming that all VMs that share the target put the same load on it as this
--- a/forward/endpoints.go
+++ b/forward/endpoints.go
@@ -90,7 +90,9 @@
 type endpointSet struct {
 	snapshot  *topology.Snapshot
 	byService map[ident.ServiceID][]*Endpoint
-	fleet     FleetView
+	// zones are the zones that have targets.
+	zones []ident.Zone
+	fleet FleetView
 }
 
 // Update replaces the topology snapshot and the view of the fleet. Targets that are still the same process keep their
@@ -113,6 +115,9 @@
 			e := s.newEndpoint(old, t, next)
 			kept[e.Pool] = true
 			next.byService[service] = append(next.byService[service], e)
+			if !slices.Contains(next.zones, t.Zone) {
+				next.zones = append(next.zones, t.Zone)
+			}
 		}
 	}
 	s.endpoints.Store(next)
--- a/forward/job.go
+++ b/forward/job.go
@@ -59,6 +59,13 @@
 	extraSends int
 	// deniedExtraSends counts the extra sends that the budget did not allow.
 	deniedExtraSends int
+	// relayed holds, by zone, the units whose first sends go through a VM of that zone; relayZones whether a zone has
+	// such a VM. zoneOrder is the order in which this request prefers zones of equal distance.
+	relayed    map[ident.Zone][]relayed
+	relayZones map[ident.Zone]bool
+	zoneOrder  map[ident.Zone]int
+	// cancelRelays end the calls to the VMs that relay sends.
+	cancelRelays []context.CancelFunc
 }
 
 // unit is the part of a job that any single target of a service can run.
@@ -89,14 +96,26 @@
 
 // attempt is one send of a unit.
 type attempt struct {
+	// send is nil if the send is relayed.
 	send     *leafconn.Send
 	endpoint *Endpoint
+	// started is when the send was submitted.
+	started time.Time
+	// relayed reports that the send goes through a VM of the target's zone.
+	relayed bool
 	// first reports the first send of the unit, whose latency feeds the route's estimate.
 	first bool
 	// paid reports that the send counts against the budget of extra sends.
 	paid bool
 }
 
+// abandon gives the send up; a reply within the grace keeps its connection open. A relayed send ends with its job.
+func (a *attempt) abandon(grace time.Duration) {
+	if a.send != nil {
+		a.send.Abandon(grace)
+	}
+}
+
 // unitResult is the result of an attempt.
 type unitResult struct {
 	unit    int
@@ -120,9 +139,21 @@
 		j.units = []unit{{service: route.Pick(rand.Float64())}}
 	}
 	j.results = make(chan unitResult, len(j.units)*maxSendsPerUnit)
+	if s.Relays != nil && route.IsScatter() {
+		j.relayed, j.relayZones, j.zoneOrder = map[ident.Zone][]relayed{}, map[ident.Zone]bool{}, randomOrder(set.zones)
+	}
 	return j
 }
 
+// randomOrder returns the zones with their places in a random order, from 0.
+func randomOrder(zones []ident.Zone) map[ident.Zone]int {
+	order := make(map[ident.Zone]int, len(zones))
+	for place, at := range rand.Perm(len(zones)) {
+		order[zones[at]] = place
+	}
+	return order
+}
+
 // run sends the job's units and handles their results until the request can be answered, has failed, has reached its
 // deadline, or its caller has left.
 func (j *job) run(ctx context.Context) endReason {
@@ -133,8 +164,9 @@
 	now := time.Now()
 	for i := range j.units {
 		j.s.budget(j.units[i].service).RecordFirstSend(now.Sub(j.s.start))
-		j.send(i, now, firstSend)
+		j.sendFirst(i, now)
 	}
+	j.sendRelayed(now)
 	if s := j.s; s.Pace != nil && j.route.IsScatter() {
 		s.Pace.Observe(time.Now(), len(j.units), time.Since(now))
 	}
@@ -253,42 +285,72 @@
 	paidSend
 )
 
+// sendFirst sends a unit for the first time, or collects it for a relay.
+func (j *job) sendFirst(i int, now time.Time) {
+	u := &j.units[i]
+	candidates, at := j.nextTarget(u, j.set.byService[u.service], now)
+	if at < 0 {
+		j.noTargetLeft(u)
+		return
+	}
+	e := j.set.byService[u.service][at]
+	if j.viaRelay(e) {
+		j.relayed[e.Target.Zone] = append(j.relayed[e.Target.Zone], relayed{unit: i, endpoint: e, rtt: candidates[at].Load.RTT})
+		return
+	}
+	if !j.submit(i, e, candidates[at].Load.RTT, now, firstSend) {
+		j.send(i, now, firstSend)
+	}
+}
+
 // send sends a unit to the target that nextTarget chooses, or to the next best if that one takes no more sends. It
 // reports whether the unit was sent.
 func (j *job) send(i int, now time.Time, kind sendKind) bool {
 	u := &j.units[i]
-	list := j.set.byService[u.service]
-	if len(list) == 0 || u.sends >= maxSendsPerUnit {
-		return j.noTargetLeft(u)
-	}
-	candidates, at := j.nextTarget(u, list, now)
-	if at < 0 {
-		return j.noTargetLeft(u)
+	for u.sends < maxSendsPerUnit {
+		candidates, at := j.nextTarget(u, j.set.byService[u.service], now)
+		if at < 0 {
+			break
+		}
+		if j.submit(i, j.set.byService[u.service][at], candidates[at].Load.RTT, now, kind) {
+			return true
+		}
 	}
-	e := list[at]
-	a := &attempt{endpoint: e, first: kind == firstSend, paid: kind == paidSend}
+	return j.noTargetLeft(u)
+}
+
+// submit sends a unit to a target and sets the time of its hedge. It reports whether the target's connections took it.
+func (j *job) submit(i int, e *Endpoint, rtt time.Duration, now time.Time, kind sendKind) bool {
+	u := &j.units[i]
+	a := j.begin(u, e, now, kind)
 	a.send = &leafconn.Send{Request: j.req, Done: func(r leafconn.Result) { j.sendDone(i, a, r) }}
-	u.tried = append(u.tried, e)
-	u.sends++
-	if e.isCold(now) {
-		e.coldLimiter.Record(now)
-	}
-	e.Tracker.Begin(now)
-	u.inFlight = append(u.inFlight, a)
-	u.ran = append(u.ran, e)
 	if !e.Pool.Submit(a.send, now) {
 		e.Tracker.End(now, now, dispatch.Abandoned, 0)
 		u.inFlight = u.inFlight[:len(u.inFlight)-1]
 		u.removeRun(e)
-		return j.send(i, now, kind)
+		return false
 	}
 	u.hedgeAt = time.Time{}
 	if j.route.Idempotent && j.sendCounts(u).AllowsNewTarget() {
-		u.hedgeAt = now.Add(dispatch.HedgeDelay(j.estimate, candidates[at].Load.RTT, j.route.Objective))
+		u.hedgeAt = now.Add(dispatch.HedgeDelay(j.estimate, rtt, j.route.Objective))
 	}
 	return true
 }
 
+// begin records a send of a unit to a target that starts now.
+func (j *job) begin(u *unit, e *Endpoint, now time.Time, kind sendKind) *attempt {
+	a := &attempt{endpoint: e, started: now, first: kind == firstSend, paid: kind == paidSend}
+	u.tried = append(u.tried, e)
+	u.sends++
+	if e.isCold(now) {
+		e.coldLimiter.Record(now)
+	}
+	e.Tracker.Begin(now)
+	u.inFlight = append(u.inFlight, a)
+	u.ran = append(u.ran, e)
+	return a
+}
+
 // nextTarget returns the candidates for a unit's next send and the index of the best one; the index is -1 if there is
 // no usable candidate. It prefers a target that was not tried, then one that refused without running the unit, then one
 // that broke the connection or failed and can take a send without waiting.
@@ -333,10 +395,13 @@
 // choose returns the targets in list as candidates and the index of the best one; the index is -1 if no candidate may
 // be used.
 func (j *job) choose(list []*Endpoint, now time.Time, excluded func(*Endpoint) bool) ([]dispatch.Candidate, int) {
+	if len(list) == 0 {
+		return nil, -1
+	}
 	candidates := make([]dispatch.Candidate, len(list))
 	for k, e := range list {
 		candidates[k] = dispatch.Candidate{Load: e.Tracker.Load(now), Local: e.local, RanksFirst: e.owned, Sharers: e.sharers,
-			Slots: e.Target.Slots, Cold: e.isCold(now), Leaving: !e.Target.LeavingSince.IsZero(), FreeConnections: e.Pool.Free(now),
+			ZoneOrder: j.zoneOrder[e.Target.Zone], Slots: e.Target.Slots, Cold: e.isCold(now), Leaving: !e.Target.LeavingSince.IsZero(), FreeConnections: e.Pool.Free(now),
 			Excluded: !j.allowed(e) || !e.withinColdShare(now) || excluded(e)}
 	}
 	return candidates, dispatch.Choose(candidates, j.estimate.Median, rand.IntN(len(list)))
@@ -359,9 +424,9 @@
 	if r.Reply != nil && !a.endpoint.local {
 		j.s.recordRemoteReply(r.At)
 	}
-	a.endpoint.Tracker.End(a.send.Started, r.At, sendResult(&r), expected)
+	a.endpoint.Tracker.End(a.started, r.At, sendResult(&r), expected)
 	if r.Reply != nil && a.first && r.Reply.OK() {
-		j.estimator.Observe(r.At.Sub(a.send.Started) - a.endpoint.Tracker.Load(r.At).RTT)
+		j.estimator.Observe(r.At.Sub(a.started) - a.endpoint.Tracker.Load(r.At).RTT)
 	}
 	j.results <- unitResult{unit: i, attempt: a, result: r}
 }
@@ -389,6 +454,10 @@
 	u := &j.units[r.unit]
 	u.inFlight = slices.DeleteFunc(u.inFlight, func(a *attempt) bool { return a == r.attempt })
 	if u.reply != nil {
+		if reply := r.result.Reply; r.attempt.relayed && reply != nil && reply.OK() {
+			// The records of this reply are merged into those of its batch, so the reply to the hedge must not count.
+			u.reply = reply
+		}
 		return
 	}
 	switch reply := r.result.Reply; {
@@ -396,7 +465,7 @@
 		u.reply = reply
 		j.covered++
 		for _, a := range slices.Clone(u.inFlight) {
-			a.send.Abandon(abandonGrace)
+			a.abandon(abandonGrace)
 		}
 		return
 	case reply != nil && reply.Disposition == leafconn.Ran:
@@ -480,9 +549,12 @@
 
 // abandonInFlight abandons the sends in flight. A reply within the grace keeps its connection open.
 func (j *job) abandonInFlight(grace time.Duration) {
+	for _, cancel := range j.cancelRelays {
+		cancel()
+	}
 	for i := range j.units {
 		for _, a := range j.units[i].inFlight {
-			a.send.Abandon(grace)
+			a.abandon(grace)
 		}
 	}
 }
--- a/forward/service.go
+++ b/forward/service.go
@@ -54,6 +54,8 @@
 	CloseConnections func() bool
 	// Coordinators hands searches over to other VMs. It may be nil.
 	Coordinators Coordinators
+	// Relays sends requests to targets of other zones through VMs there. It may be nil.
+	Relays Relays
 	// Pace records how long this VM needs to send searches. It may be nil.
 	Pace *coordinator.Pace
 	// Refusing reports whether new requests are refused because the process is about to end. It may be nil.
--- a/gen/teaselbank/peer/v1/peerv1connect/peer.connect.go
+++ b/gen/teaselbank/peer/v1/peerv1connect/peer.connect.go
@@ -82,6 +82,9 @@
 	// CoordinatorServiceSearchProcedure is the fully-qualified name of the CoordinatorService's Search
 	// RPC.
 	CoordinatorServiceSearchProcedure = "/teaselbank.peer.v1.CoordinatorService/Search"
+	// CoordinatorServiceSendAllProcedure is the fully-qualified name of the CoordinatorService's
+	// SendAll RPC.
+	CoordinatorServiceSendAllProcedure = "/teaselbank.peer.v1.CoordinatorService/SendAll"
 )
 
 // RelayServiceClient is a client for the teaselbank.peer.v1.RelayService service.
@@ -752,6 +755,8 @@
 	Available(context.Context, *connect.Request[v1.AvailableRequest]) (*connect.Response[v1.AvailableResponse], error)
 	// Search runs a search and returns its response.
 	Search(context.Context, *connect.Request[v1.SearchRequest]) (*connect.Response[v1.SearchResponse], error)
+	// SendAll sends a request to targets of the called VM's zone, once to each, and returns their replies in batches.
+	SendAll(context.Context, *connect.Request[v1.SendAllRequest]) (*connect.ServerStreamForClient[v1.SendAllResponse], error)
 }
 
 // NewCoordinatorServiceClient constructs a client for the teaselbank.peer.v1.CoordinatorService
@@ -777,6 +782,12 @@
 			connect.WithSchema(coordinatorServiceMethods.ByName("Search")),
 			connect.WithClientOptions(opts...),
 		),
+		sendAll: connect.NewClient[v1.SendAllRequest, v1.SendAllResponse](
+			httpClient,
+			baseURL+CoordinatorServiceSendAllProcedure,
+			connect.WithSchema(coordinatorServiceMethods.ByName("SendAll")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -784,6 +795,7 @@
 type coordinatorServiceClient struct {
 	available *connect.Client[v1.AvailableRequest, v1.AvailableResponse]
 	search    *connect.Client[v1.SearchRequest, v1.SearchResponse]
+	sendAll   *connect.Client[v1.SendAllRequest, v1.SendAllResponse]
 }
 
 // Available calls teaselbank.peer.v1.CoordinatorService.Available.
@@ -796,6 +808,11 @@
 	return c.search.CallUnary(ctx, req)
 }
 
+// SendAll calls teaselbank.peer.v1.CoordinatorService.SendAll.
+func (c *coordinatorServiceClient) SendAll(ctx context.Context, req *connect.Request[v1.SendAllRequest]) (*connect.ServerStreamForClient[v1.SendAllResponse], error) {
+	return c.sendAll.CallServerStream(ctx, req)
+}
+
 // CoordinatorServiceHandler is an implementation of the teaselbank.peer.v1.CoordinatorService
 // service.
 type CoordinatorServiceHandler interface {
@@ -804,6 +821,8 @@
 	Available(context.Context, *connect.Request[v1.AvailableRequest]) (*connect.Response[v1.AvailableResponse], error)
 	// Search runs a search and returns its response.
 	Search(context.Context, *connect.Request[v1.SearchRequest]) (*connect.Response[v1.SearchResponse], error)
+	// SendAll sends a request to targets of the called VM's zone, once to each, and returns their replies in batches.
+	SendAll(context.Context, *connect.Request[v1.SendAllRequest], *connect.ServerStream[v1.SendAllResponse]) error
 }
 
 // NewCoordinatorServiceHandler builds an HTTP handler from the service implementation. It returns
@@ -825,12 +844,20 @@
 		connect.WithSchema(coordinatorServiceMethods.ByName("Search")),
 		connect.WithHandlerOptions(opts...),
 	)
+	coordinatorServiceSendAllHandler := connect.NewServerStreamHandler(
+		CoordinatorServiceSendAllProcedure,
+		svc.SendAll,
+		connect.WithSchema(coordinatorServiceMethods.ByName("SendAll")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/teaselbank.peer.v1.CoordinatorService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case CoordinatorServiceAvailableProcedure:
 			coordinatorServiceAvailableHandler.ServeHTTP(w, r)
 		case CoordinatorServiceSearchProcedure:
 			coordinatorServiceSearchHandler.ServeHTTP(w, r)
+		case CoordinatorServiceSendAllProcedure:
+			coordinatorServiceSendAllHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -847,3 +874,7 @@
 func (UnimplementedCoordinatorServiceHandler) Search(context.Context, *connect.Request[v1.SearchRequest]) (*connect.Response[v1.SearchResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("teaselbank.peer.v1.CoordinatorService.Search is not implemented"))
 }
+
+func (UnimplementedCoordinatorServiceHandler) SendAll(context.Context, *connect.Request[v1.SendAllRequest], *connect.ServerStream[v1.SendAllResponse]) error {
+	return connect.NewError(connect.CodeUnimplemented, errors.New("teaselbank.peer.v1.CoordinatorService.SendAll is not implemented"))
+}
--- a/plugin/coordinator/coordinator.go
+++ b/plugin/coordinator/coordinator.go
@@ -3,6 +3,7 @@
 package coordinator
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -26,7 +27,7 @@
 	kernel.Register(kernel.Plugin{Name: "coordinator", Options: func() fx.Option {
 		return fx.Options(
 			fx.Provide(newPace, newClient),
-			fx.Provide(func(c *delegate.Client) forward.Coordinators { return c }),
+			fx.Provide(func(c *delegate.Client) (forward.Coordinators, forward.Relays) { return c, c }),
 			fx.Provide(fx.Annotate(newHandler, fx.ResultTags(peerapi.HandlerGroup))),
 			fx.Invoke(registerMetrics),
 		)
@@ -36,10 +37,32 @@
 func newPace(s *site.Settings) *coordinator.Pace { return coordinator.NewPace(s.Capacity) }
 
 func newClient(pace *coordinator.Pace, viewer membership.Viewer, dialer leafconn.Dialer, failures membership.FailureReporter, logger *log.Logger) *delegate.Client {
-	return delegate.NewClient(delegate.Options{Roles: func() coordinator.Roles { return Roles(viewer.View(), time.Now()) }, Pace: pace,
+	cache := &rolesCache{viewer: viewer}
+	return delegate.NewClient(delegate.Options{Roles: cache.current, Pace: pace,
 		Dial: dialer.DialContext, Failures: failures, Logger: logger.With("component", "coordinator")})
 }
 
+// rolesCache holds the roles of the newest view, because each search needs them.
+type rolesCache struct {
+	viewer membership.Viewer
+	newest atomic.Pointer[rolesOfView]
+}
+
+type rolesOfView struct {
+	view  *membership.View
+	roles coordinator.Roles
+}
+
+func (c *rolesCache) current() *coordinator.Roles {
+	view := c.viewer.View()
+	if newest := c.newest.Load(); newest != nil && newest.view == view {
+		return &newest.roles
+	}
+	next := &rolesOfView{view: view, roles: Roles(view, time.Now())}
+	c.newest.Store(next)
+	return &next.roles
+}
+
 // LostVMRetention is how long a VM that is no longer usable is still counted, because it may only be out of reach.
 const LostVMRetention = 10 * time.Second
 
--- a/plugin/forwarding/forwarding.go
+++ b/plugin/forwarding/forwarding.go
@@ -70,9 +70,9 @@
 }
 
 func newService(s *site.Settings, protocol forward.Protocol, dialer leafconn.Dialer, decisions *decisionlog.Log, state *lifecycle.State,
-	guard forward.CrashGuard, coordinators forward.Coordinators, pace *coordinator.Pace, inst *instruments) *forward.Service {
+	guard forward.CrashGuard, coordinators forward.Coordinators, relays forward.Relays, pace *coordinator.Pace, inst *instruments) *forward.Service {
 	return forward.New(forward.Options{VMID: s.VMID, Zone: s.Zone, Regions: s.Regions, Protocol: protocol, Dialer: dialer,
-		Extra: s.Extra, Cold: s.Cold, Guard: guard, Coordinators: coordinators, Pace: pace, Report: reporter(decisions, inst), CloseConnections: func() bool { return !state.Ready() }, Refusing: state.Draining})
+		Extra: s.Extra, Cold: s.Cold, Guard: guard, Coordinators: coordinators, Relays: relays, Pace: pace, Report: reporter(decisions, inst), CloseConnections: func() bool { return !state.Ready() }, Refusing: state.Draining})
 }
 
 // startLoops adds hooks that keep the service's targets and the VM's readiness up to date and log the connections.
