Keep membership and the checks of contact with other zones within the zone

Membership probes and pushes went to random VMs, four out of five of them in other zones on a fleet of five.

Ruled out: a longer interval between the checks (all VMs of a zone that is cut off must notice it within a second).

Change: a VM asks a coordinator of its zone when that had contact with another zone, and connects to targets only if no coordinator has. VMs of a zone with eight or more usable VMs probe each other, and all of them together send four probes and eight copies of each change to other zones.

--- a/delegate/client.go
+++ b/delegate/client.go
@@ -42,6 +42,8 @@
 	checkInterval   = 100 * time.Millisecond
 	checkTimeout    = 80 * time.Millisecond
 	maxFailedChecks = 2
+	// contactTimeout is how long a VM waits for a coordinator that it asks for its contact with other zones.
+	contactTimeout = 100 * time.Millisecond
 	// idleTimeout is how long a connection to a coordinator without calls stays open.
 	idleTimeout = 30 * time.Second
 	// deadlineGrace is how much longer than the deadline a VM waits for the response, which then states the reason.
@@ -259,6 +261,30 @@
 	return nil
 }
 
+// OtherZoneContact asks a coordinator of this VM's zone when it last had contact with another zone. ok is false if there
+// is none that replies, or if it had no contact.
+func (c *Client) OtherZoneContact(ctx context.Context) (at time.Time, ok bool) {
+	roles := c.Roles()
+	if roles.Self {
+		return time.Time{}, false
+	}
+	p := c.choose(roles.Local)
+	if p == nil {
+		return time.Time{}, false
+	}
+	defer c.release(p)
+	ctx, cancel := context.WithTimeout(ctx, contactTimeout)
+	defer cancel()
+	asked := time.Now()
+	resp, err := p.rpc.Available(ctx, connect.NewRequest(&peerv1.AvailableRequest{}))
+	if err != nil {
+		c.failed(p, err)
+		return time.Time{}, false
+	}
+	age := resp.Msg.GetOtherZoneAgeUs()
+	return asked.Add(-microseconds(age)), age >= 0
+}
+
 // search has the coordinator run a search. It returns forward.ErrNotStarted only if no target can have the search.
 func (c *Client) search(ctx context.Context, p *peer, s *forward.Search) (*forward.SearchReply, error) {
 	ctx, cancel := context.WithDeadline(ctx, s.Request.Deadline.Add(deadlineGrace))
--- a/delegate/delegate_test.go
+++ b/delegate/delegate_test.go
@@ -72,6 +72,8 @@
 
 func ready() bool { return true }
 
+func never() time.Time { return time.Time{} }
+
 func newSearch() *forward.Search {
 	now := time.Now()
 	return &forward.Search{Version: 3, Entry: "vm-small", Arrived: now, AnswerBy: now.Add(time.Minute), Request: &leafconn.Request{ID: "r1",
@@ -100,7 +102,7 @@
 		got = s
 		return want, nil
 	}}
-	c := newClient(startServer(t, &delegate.Server{Runner: r, Pace: coordinator.NewPace(800), Ready: ready}), new(failures))
+	c := newClient(startServer(t, &delegate.Server{Runner: r, Pace: coordinator.NewPace(800), Ready: ready, OtherZoneContact: never}), new(failures))
 	s := newSearch()
 	reply, err := runUntilStarted(t, c, s)
 	require.NoError(t, err)
@@ -117,9 +119,9 @@
 	slow := coordinator.NewPace(800)
 	slow.Observe(time.Now(), 1, time.Hour)
 	for name, s := range map[string]*delegate.Server{
-		"not ready":       {Runner: &runner{version: 3}, Pace: coordinator.NewPace(800), Ready: func() bool { return false }},
-		"another version": {Runner: &runner{version: 4}, Pace: coordinator.NewPace(800), Ready: ready},
-		"slower":          {Runner: &runner{version: 3}, Pace: slow, Ready: ready},
+		"not ready":       {Runner: &runner{version: 3}, Pace: coordinator.NewPace(800), Ready: func() bool { return false }, OtherZoneContact: never},
+		"another version": {Runner: &runner{version: 4}, Pace: coordinator.NewPace(800), Ready: ready, OtherZoneContact: never},
+		"slower":          {Runner: &runner{version: 3}, Pace: slow, Ready: ready, OtherZoneContact: never},
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, err := newClient(startServer(t, s), new(failures)).Run(context.Background(), newSearch())
@@ -160,7 +162,7 @@
 func TestCoordinatorThatBreaksOffMayHaveStarted(t *testing.T) {
 	r := &runner{version: 3, search: func(context.Context, *forward.Search) (*forward.SearchReply, error) { panic(http.ErrAbortHandler) }}
 	f := new(failures)
-	c := newClient(startServer(t, &delegate.Server{Runner: r, Pace: coordinator.NewPace(800), Ready: ready}), f)
+	c := newClient(startServer(t, &delegate.Server{Runner: r, Pace: coordinator.NewPace(800), Ready: ready, OtherZoneContact: never}), f)
 	_, err := runUntilStarted(t, c, newSearch())
 	require.Error(t, err)
 	require.NotErrorIs(t, err, forward.ErrNotStarted)
@@ -181,7 +183,7 @@
 			<-stopped
 		}
 		return true
-	}}
+	}, OtherZoneContact: never}
 	c := newClient(startServer(t, s), new(failures))
 	t.Cleanup(func() { close(stopped) })
 	search := newSearch()
@@ -201,7 +203,7 @@
 		close(ended)
 		return nil, ctx.Err()
 	}}
-	c := newClient(startServer(t, &delegate.Server{Runner: r, Pace: coordinator.NewPace(800), Ready: ready}), new(failures))
+	c := newClient(startServer(t, &delegate.Server{Runner: r, Pace: coordinator.NewPace(800), Ready: ready, OtherZoneContact: never}), new(failures))
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() {
 		<-started
@@ -223,6 +225,30 @@
 	}
 }
 
+// Guards against a VM that takes its zone to be cut off although its coordinator has contact with another zone, and against
+// one that takes a coordinator without contact for proof of it.
+func TestCoordinatorTellsItsContactWithOtherZones(t *testing.T) {
+	contact := time.Now().Add(-time.Hour)
+	connected := &delegate.Server{Runner: &runner{}, Pace: coordinator.NewPace(800), Ready: ready, OtherZoneContact: func() time.Time { return contact }}
+	at, ok := contactOf(newClient(startServer(t, connected), new(failures)))
+	require.True(t, ok)
+	require.WithinDuration(t, contact, at, 10*time.Second)
+	isolated := &delegate.Server{Runner: &runner{}, Pace: coordinator.NewPace(800), Ready: ready, OtherZoneContact: never}
+	_, ok = newClient(startServer(t, isolated), new(failures)).OtherZoneContact(context.Background())
+	require.False(t, ok)
+}
+
+// contactOf asks until the coordinator replies; the first call may exceed its time limit on a busy machine.
+func contactOf(c *delegate.Client) (at time.Time, ok bool) {
+	for range 100 {
+		if at, ok = c.OtherZoneContact(context.Background()); ok {
+			return at, true
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return at, false
+}
+
 // Guards against results that are lost or changed on their way from a relay, and against a result of an unknown kind that
 // counts as not sent.
 func TestRelayedResultsArriveWhole(t *testing.T) {
@@ -237,7 +263,7 @@
 		got = relay
 		return errors.Join(deliver(batches[0]), deliver(batches[1]))
 	}}
-	c := newClient(startServer(t, &delegate.Server{Runner: r, Pace: coordinator.NewPace(800), Ready: ready}), new(failures))
+	c := newClient(startServer(t, &delegate.Server{Runner: r, Pace: coordinator.NewPace(800), Ready: ready, OtherZoneContact: never}), new(failures))
 	require.True(t, c.Available("b"))
 	require.False(t, c.Available("c"))
 	relay := &forward.Relay{Request: newSearch().Request, TopRecords: 5, FlushAfter: 30 * time.Millisecond,
@@ -263,7 +289,7 @@
 	r := &runner{sendAll: func(context.Context, *forward.Relay, func(*forward.RelayBatch) error) error {
 		panic(http.ErrAbortHandler)
 	}}
-	c := newClient(startServer(t, &delegate.Server{Runner: r, Pace: coordinator.NewPace(800), Ready: ready}), new(failures))
+	c := newClient(startServer(t, &delegate.Server{Runner: r, Pace: coordinator.NewPace(800), Ready: ready, OtherZoneContact: never}), new(failures))
 	err = c.SendAll(context.Background(), "b", relay, func(*forward.RelayBatch) {})
 	require.Error(t, err)
 	require.NotErrorIs(t, err, leafconn.ErrNotSent)
--- a/delegate/server.go
+++ b/delegate/server.go
@@ -28,11 +28,20 @@
 	Pace   *coordinator.Pace
 	// Ready reports whether this VM takes new work.
 	Ready func() bool
+	// OtherZoneContact returns when this VM last had contact with a VM or a target of another zone; the zero time if never.
+	OtherZoneContact func() time.Time
 }
 
+// noContact is the age of a contact that never took place.
+const noContact = -1
+
 // Available implements peerv1connect.CoordinatorServiceHandler.
 func (s *Server) Available(_ context.Context, req *connect.Request[peerv1.AvailableRequest]) (*connect.Response[peerv1.AvailableResponse], error) {
-	resp := &peerv1.AvailableResponse{SendUs: s.Pace.Estimate(time.Now()).Microseconds()}
+	now := time.Now()
+	resp := &peerv1.AvailableResponse{SendUs: s.Pace.Estimate(now).Microseconds(), OtherZoneAgeUs: noContact}
+	if contact := s.OtherZoneContact(); !contact.IsZero() {
+		resp.OtherZoneAgeUs = max(0, now.Sub(contact).Microseconds())
+	}
 	switch {
 	case !s.Ready():
 		resp.Refusal = "not ready"
--- a/dispatch/zone_contact.go
+++ b/dispatch/zone_contact.go
@@ -24,11 +24,14 @@
 	ProbedAt time.Time
 }
 
+// ContactIsOld reports whether a contact was so long ago that a connected VM should have had another one.
+func ContactIsOld(now, contact time.Time) bool { return now.Sub(contact) >= probeAfter }
+
 // ShouldProbe reports whether targets of other zones should be probed. Without probes, contact would depend on the
 // messages that peers send on their own, and a VM whose peers in other zones are all gone would take the targets of
 // those zones to be unreachable.
 func (c ZoneContact) ShouldProbe(now time.Time) bool {
-	return now.Sub(c.LastContact) >= probeAfter && now.Sub(c.ProbedAt) >= probeAfter
+	return ContactIsOld(now, c.LastContact) && now.Sub(c.ProbedAt) >= probeAfter
 }
 
 // Isolated reports whether this VM is cut off from the other zones: there was no contact for isolatedAfter, and a probe
--- a/forward/service.go
+++ b/forward/service.go
@@ -119,16 +119,8 @@
 // ProbeOtherZones opens a connection to one target in each of at most probedZones other zones, and reports whether there
 // was one to probe. It does not wait; a successful probe updates LastRemoteReply.
 func (s *Service) ProbeOtherZones() bool {
-	set, byZone := s.endpoints.Load(), map[ident.Zone]*Endpoint{}
-	for _, list := range set.byService {
-		for _, e := range list {
-			if !e.local && e.Target.LeavingSince.IsZero() && !set.snapshot.ZonesOut[e.Target.Zone] {
-				byZone[e.Target.Zone] = e
-			}
-		}
-	}
 	probed := 0
-	for _, e := range byZone {
+	for _, e := range s.targetsOfOtherZones() {
 		if probed++; probed > probedZones {
 			break
 		}
@@ -143,6 +135,29 @@
 
 func (s *Service) recordRemoteReply(at time.Time) { s.remoteReply.Store(int64(at.Sub(s.start))) }
 
+// RecordContact records that a VM of this zone had contact with another zone.
+func (s *Service) RecordContact(at time.Time) {
+	if at.After(s.LastRemoteReply()) {
+		s.recordRemoteReply(at)
+	}
+}
+
+// HasTargetsInOtherZones reports whether there is a target in another zone that may get requests.
+func (s *Service) HasTargetsInOtherZones() bool { return len(s.targetsOfOtherZones()) > 0 }
+
+// targetsOfOtherZones returns one target of each other zone that may get requests.
+func (s *Service) targetsOfOtherZones() map[ident.Zone]*Endpoint {
+	set, byZone := s.endpoints.Load(), map[ident.Zone]*Endpoint{}
+	for _, list := range set.byService {
+		for _, e := range list {
+			if !e.local && e.Target.LeavingSince.IsZero() && !set.snapshot.ZonesOut[e.Target.Zone] {
+				byZone[e.Target.Zone] = e
+			}
+		}
+	}
+	return byZone
+}
+
 // LocalTargetsSuffice reports whether the usable targets of this VM's zone alone can reach the minimum coverage of
 // every scatter route. It returns true while there is no configuration.
 func (s *Service) LocalTargetsSuffice(now time.Time) bool {
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -135,7 +135,7 @@
 }
 
 func (n *Node) pushBatch(members []Member) {
-	for _, r := range n.pick(pushFanout, (*record).acceptsPush) {
+	for _, r := range n.pickPushed() {
 		n.push.tokens--
 		n.pushTo(r.Member, members)
 	}
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -8,7 +8,7 @@
 
 // probeRound probes one random member that is not dead and not being probed already.
 func (n *Node) probeRound() {
-	for _, r := range n.pick(1, func(r *record) bool { return r.State != Dead && !r.probing }) {
+	for _, r := range n.pickProbed() {
 		n.probe(r)
 	}
 }
--- a/plugin/coordinator/coordinator.go
+++ b/plugin/coordinator/coordinator.go
@@ -20,6 +20,7 @@
 	"teaselbank.example/teaselbank/membership"
 	"teaselbank.example/teaselbank/observe"
 	"teaselbank.example/teaselbank/plugin/peerapi"
+	"teaselbank.example/teaselbank/plugin/topology"
 	"teaselbank.example/teaselbank/site"
 )
 
@@ -71,8 +72,19 @@
 	return coordinator.Assign(view, func(m membership.Member) bool { return now.Sub(m.Since) <= LostVMRetention })
 }
 
-func newHandler(service *forward.Service, pace *coordinator.Pace, state *lifecycle.State) peerapi.Handler {
-	path, h := peerv1connect.NewCoordinatorServiceHandler(&delegate.Server{Runner: service, Pace: pace, Ready: state.Ready})
+// LastOtherZoneContact returns when a VM or a target of another zone last replied to this VM or sent it a message; the zero
+// time if none did.
+func LastOtherZoneContact(contacts *topology.ContactTracker, service *forward.Service) time.Time {
+	last := contacts.LastOtherZoneContact()
+	if reply := service.LastRemoteReply(); reply.After(last) {
+		return reply
+	}
+	return last
+}
+
+func newHandler(service *forward.Service, pace *coordinator.Pace, state *lifecycle.State, contacts *topology.ContactTracker) peerapi.Handler {
+	path, h := peerv1connect.NewCoordinatorServiceHandler(&delegate.Server{Runner: service, Pace: pace, Ready: state.Ready,
+		OtherZoneContact: func() time.Time { return LastOtherZoneContact(contacts, service) }})
 	return peerapi.Handler{Path: path, Handler: h}
 }
 
--- a/plugin/forwarding/forwarding.go
+++ b/plugin/forwarding/forwarding.go
@@ -15,6 +15,7 @@
 
 	"teaselbank.example/teaselbank/coordinator"
 	"teaselbank.example/teaselbank/decisionlog"
+	"teaselbank.example/teaselbank/delegate"
 	"teaselbank.example/teaselbank/forward"
 	"teaselbank.example/teaselbank/ident"
 	"teaselbank.example/teaselbank/kernel"
@@ -77,7 +78,7 @@
 
 // startLoops adds hooks that keep the service's targets and the VM's readiness up to date and log the connections.
 func startLoops(lc fx.Lifecycle, s *site.Settings, service *forward.Service, topo *topology.State, viewer membership.Viewer, contacts *plugintopology.ContactTracker,
-	state *lifecycle.State, logger *log.Logger) {
+	delegates *delegate.Client, state *lifecycle.State, logger *log.Logger) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var loops sync.WaitGroup
 	changed := make(chan struct{}, 1)
@@ -90,7 +91,7 @@
 				}
 			})
 			loops.Go(func() {
-				runUpdates(ctx, s, service, topo, viewer, contacts, state, changed, logger.With("component", "forwarding"))
+				runUpdates(ctx, s, service, topo, viewer, contacts, state, delegates.OtherZoneContact, changed, logger.With("component", "forwarding"))
 			})
 			loops.Go(func() { logConnections(ctx, service, logger.With("component", "forwarding")) })
 			return nil
@@ -104,12 +105,12 @@
 }
 
 func runUpdates(ctx context.Context, s *site.Settings, service *forward.Service, topo *topology.State, viewer membership.Viewer,
-	contacts *plugintopology.ContactTracker, state *lifecycle.State, changed <-chan struct{}, logger *log.Logger) {
+	contacts *plugintopology.ContactTracker, state *lifecycle.State, zoneContact func(context.Context) (time.Time, bool), changed <-chan struct{}, logger *log.Logger) {
 	start := time.Now()
 	maintain, contactCheck := time.NewTicker(maintainInterval), time.NewTicker(contactCheckInterval)
 	defer maintain.Stop()
 	defer contactCheck.Stop()
-	ready := &readiness{service: service, contacts: contacts, state: state, logger: logger}
+	ready := &readiness{service: service, contacts: contacts, state: state, zoneContact: zoneContact, logger: logger}
 	for {
 		fleet := fleetView(viewer.View(), s.Zone, time.Now(), start)
 		snapshot := topo.Current()
