--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -6,11 +6,8 @@
 const (
 	// defaultCrossZoneRTT is used for a target of another zone until its round-trip time is known.
 	defaultCrossZoneRTT = 8 * time.Millisecond
-	// minCrossZonePenalty is the least cost of traffic between zones in addition to its delay, and crossZoneShare the share
-	// of the objective that it costs if that is more: a reply that comes a little later is worth as much to the caller as
-	// long as it meets the objective, and small differences between targets are mostly noise of the estimates.
-	minCrossZonePenalty = 3 * time.Millisecond
-	crossZoneShare      = 0.1
+	// crossZonePenalty is the cost of traffic between zones in addition to its delay.
+	crossZonePenalty = 3 * time.Millisecond
 	// zoneOrderStep is the cost of each place in the request's order of zones.
 	zoneOrderStep = 2 * time.Millisecond
 	// A refusal or a failure loses failureFactor median latencies plus failureCost.
@@ -53,10 +50,10 @@
 }
 
 // Cost returns the time that a request is expected to need at the candidate, penalties included. median is the median
-// latency of the request's route, objective its latency objective.
-func (c *Candidate) Cost(median, objective time.Duration) time.Duration {
+// latency of the request's route.
+func (c *Candidate) Cost(median time.Duration) time.Duration {
 	cost := time.Duration(float64(median) * max(0.5, c.Load.Slowness))
-	cost += c.zoneCost(objective) + c.queueCost(median)
+	cost += c.zoneCost() + c.queueCost(median)
 	if c.Paused(median) {
 		cost += max(c.Load.Silence, 2*median)
 	}
@@ -81,15 +78,15 @@
 	return c.Load.Silence > silenceFactor*median+silenceSlack+c.Load.RTT
 }
 
-func (c *Candidate) zoneCost(objective time.Duration) time.Duration {
-	if c.Local {
+func (c *Candidate) zoneCost() time.Duration {
+	order := time.Duration(c.ZoneOrder) * zoneOrderStep
+	switch {
+	case c.Local:
 		return 0
+	case c.Load.RTT > 0:
+		return c.Load.RTT + crossZonePenalty + order
 	}
-	rtt := c.Load.RTT
-	if rtt <= 0 {
-		rtt = defaultCrossZoneRTT
-	}
-	return rtt + max(minCrossZonePenalty, fraction(objective, crossZoneShare)) + time.Duration(c.ZoneOrder)*zoneOrderStep
+	return defaultCrossZoneRTT + crossZonePenalty + order
 }
 
 // queueCost estimates the wait for a slot, assuming that all VMs that share the target put the same load on it as this
@@ -116,7 +113,7 @@
 // Choose returns the index of the cheapest candidate. It returns -1 if every candidate is excluded or has
 // Load.AddressReused set. Among candidates of equal cost it takes the first one from index start on, so that callers
 // can spread the load by varying start.
-func Choose(candidates []Candidate, median, objective time.Duration, start int) int {
+func Choose(candidates []Candidate, median time.Duration, start int) int {
 	best, least := -1, time.Duration(0)
 	for i := range candidates {
 		at := (start + i) % len(candidates)
@@ -124,7 +121,7 @@
 		if c.Excluded || c.Load.AddressReused {
 			continue
 		}
-		if cost := c.Cost(median, objective); best < 0 || cost < least {
+		if cost := c.Cost(median); best < 0 || cost < least {
 			best, least = at, cost
 		}
 	}
--- a/dispatch/replay_test.go
+++ b/dispatch/replay_test.go
@@ -1,7 +1,6 @@
 package dispatch_test
 
 import (
-	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -11,9 +10,6 @@
 	"teaselbank.example/teaselbank/dispatch"
 )
 
-// objective is the latency objective of the replayed requests.
-const objective = 100 * time.Millisecond
-
 // workload is a series of searches that one VM of a large fleet runs over shards of three targets, one in each zone. Time
 // is virtual and every reply is determined by the seed.
 type workload struct {
@@ -68,7 +64,7 @@
 		}
 	}
 	for attempt := 0; ; attempt++ {
-		k := dispatch.Choose(candidates, l.work, objective, 0)
+		k := dispatch.Choose(candidates, l.work, 0)
 		if k < 0 || attempt > 0 && !budget.Take(at, 1) {
 			return false
 		}
@@ -108,7 +104,7 @@
 	choose := func(now time.Time) int {
 		return dispatch.Choose([]dispatch.Candidate{
 			{Load: local.Load(now), Local: true, Slots: 2, FreeConnections: 3, Sharers: 3},
-			{Load: remote.Load(now), Slots: 2, FreeConnections: 3, Sharers: 3}}, median, objective, 0)
+			{Load: remote.Load(now), Slots: 2, FreeConnections: 3, Sharers: 3}}, median, 0)
 	}
 	require.Zero(t, choose(start))
 	local.Begin(start)
@@ -119,44 +115,6 @@
 	require.Zero(t, choose(later), "a target must be chosen again after a single pause")
 }
 
-// crossings replays requests to a shard with equally good targets in three zones, whose work varies by a third, and returns
-// the share of requests that leave the zone of the first target.
-func crossings(seed uint64, objective time.Duration) float64 {
-	const median, gap, requests = 28 * time.Millisecond, 40 * time.Millisecond, 2000
-	random := rand.New(rand.NewPCG(seed, 0))
-	trackers := []*dispatch.Tracker{dispatch.NewTracker(), dispatch.NewTracker(), dispatch.NewTracker()}
-	crossed := 0
-	for n := range requests {
-		now := time.Unix(0, 0).Add(time.Duration(n) * gap)
-		candidates := make([]dispatch.Candidate, len(trackers))
-		for k, t := range trackers {
-			candidates[k] = dispatch.Candidate{Load: t.Load(now), Local: k == 0, Slots: 6, FreeConnections: 1, Sharers: 1}
-		}
-		k := dispatch.Choose(candidates, median, objective, 0)
-		if k != 0 {
-			crossed++
-		}
-		work := time.Duration(float64(median) * math.Exp(0.35*random.NormFloat64()))
-		trackers[k].Begin(now)
-		trackers[k].End(now, now.Add(work), dispatch.Replied, median)
-	}
-	return float64(crossed) / requests
-}
-
-// Replays targets whose work varies by a third from request to request: nearly all requests must stay in the zone, since
-// no target is better than another. Without an objective, differences of some milliseconds between the estimates decide.
-func TestReplayVaryingWorkStaysInTheZone(t *testing.T) {
-	with, without := 0.0, 0.0
-	const seeds = 20
-	for seed := range uint64(seeds) {
-		with += crossings(seed, 250*time.Millisecond) / seeds
-		without += crossings(seed, 0) / seeds
-	}
-	t.Logf("requests that leave the zone: %.4f with the objective in the cost, %.4f without", with, without)
-	require.Less(t, with, 0.005)
-	require.Greater(t, without, with)
-}
-
 // Replays a local target that became eight times slower: after a few replies a target of another zone must be preferred,
 // and the slow one must be tried again later although it sent no reply in between.
 func TestReplaySlowTarget(t *testing.T) {
@@ -165,7 +123,7 @@
 	now := time.Unix(0, 0)
 	choose := func() int {
 		return dispatch.Choose([]dispatch.Candidate{{Load: local.Load(now), Local: true, Slots: 6, FreeConnections: 3, Sharers: 1},
-			{Load: remote.Load(now), Slots: 6, FreeConnections: 3, Sharers: 1}}, median, objective, 0)
+			{Load: remote.Load(now), Slots: 6, FreeConnections: 3, Sharers: 1}}, median, 0)
 	}
 	attempts := 0
 	for ; choose() == 0; attempts++ {
@@ -208,13 +166,13 @@
 		{Local: true, FreeConnections: 1, Slots: 2, Leaving: true},
 	}
 	for i := 1; i < len(order); i++ {
-		require.Greater(t, order[i].Cost(median, objective), order[i-1].Cost(median, objective), i)
+		require.Greater(t, order[i].Cost(median), order[i-1].Cost(median), i)
 	}
 	for i := range order {
 		order[i].Excluded = true
 	}
-	require.Equal(t, -1, dispatch.Choose(order, median, objective, 0))
-	require.Equal(t, -1, dispatch.Choose([]dispatch.Candidate{{Load: dispatch.Load{AddressReused: true}, FreeConnections: 1}}, median, objective, 0))
+	require.Equal(t, -1, dispatch.Choose(order, median, 0))
+	require.Equal(t, -1, dispatch.Choose([]dispatch.Candidate{{Load: dispatch.Load{AddressReused: true}, FreeConnections: 1}}, median, 0))
 }
 
 // Guards against a search that responds too late, responds too early, or waits for replies that can no longer arrive.
@@ -390,5 +348,5 @@
 		{FreeConnections: 0, Slots: 2},
 		{FreeConnections: 0, Slots: 2, Cold: true},
 	}
-	require.Equal(t, 1, dispatch.Choose(candidates, 8*time.Millisecond, objective, 0))
+	require.Equal(t, 1, dispatch.Choose(candidates, 8*time.Millisecond, 0))
 }
--- a/forward/job.go
+++ b/forward/job.go
@@ -404,7 +404,7 @@
 			ZoneOrder: j.zoneOrder[e.Target.Zone], Slots: e.Target.Slots, Cold: e.isCold(now), Leaving: !e.Target.LeavingSince.IsZero(), FreeConnections: e.Pool.Free(now),
 			Excluded: !j.allowed(e) || !e.withinColdShare(now) || excluded(e)}
 	}
-	return candidates, dispatch.Choose(candidates, j.estimate.Median, j.route.Objective, rand.IntN(len(list)))
+	return candidates, dispatch.Choose(candidates, j.estimate.Median, rand.IntN(len(list)))
 }
 
 // noTargetLeft cancels the hedge of a unit that has no target left, and closes the unit if none of its sends is in
