--- a/delegate/client.go
+++ b/delegate/client.go
@@ -106,8 +106,11 @@
 	if roles.Self || len(roles.Local) == 0 {
 		return nil, forward.ErrNotStarted
 	}
-	p := c.reserve(ctx, roles, s.Version)
-	if p == nil {
+	p, newest := c.reserve(ctx, roles, s.Version)
+	switch {
+	case p == nil && newest > s.Version:
+		return nil, &forward.NewerVersionError{Version: newest}
+	case p == nil:
 		c.notStarted.Add(1)
 		return nil, forward.ErrNotStarted
 	}
@@ -125,13 +128,13 @@
 	return reply, err
 }
 
-// reserve returns a coordinator that would run a search now, nil if there is none. release must be called when its
-// search has ended.
-func (c *Client) reserve(ctx context.Context, roles *coordinator.Roles, version uint64) *peer {
+// reserve returns a coordinator that would run a search now, nil if there is none, and the newest version of the
+// configuration that one has stated. release must be called when the search has ended.
+func (c *Client) reserve(ctx context.Context, roles *coordinator.Roles, version uint64) (found *peer, newest uint64) {
 	for range maxTries {
 		p := c.choose(roles.Local)
 		if p == nil {
-			return nil
+			return nil, newest
 		}
 		callCtx, cancel := context.WithTimeout(ctx, availableTimeout)
 		resp, err := p.rpc.Available(callCtx, connect.NewRequest(&peerv1.AvailableRequest{ConfigVersion: version}))
@@ -141,16 +144,21 @@
 			if ctx.Err() == nil {
 				c.failed(p, err)
 			}
-			return nil
+			return nil, newest
 		}
+		newest = max(newest, resp.Msg.GetConfigVersion())
 		offered := time.Duration(resp.Msg.GetSendUs()) * time.Microsecond
 		if resp.Msg.GetRefusal() == "" && coordinator.WorthHandingOver(c.Pace.Estimate(time.Now()), offered) {
-			return p
+			return p, newest
 		}
 		c.release(p)
+		if newest > version {
+			// The coordinator is fine; this VM is about to get the same version.
+			return nil, newest
+		}
 		c.avoid(p, avoidAfterRefusal)
 	}
-	return nil
+	return nil, newest
 }
 
 // choose returns the coordinator to try, with one more search in flight, or nil if all are avoided.
--- a/delegate/server.go
+++ b/delegate/server.go
@@ -38,14 +38,15 @@
 // Available implements peerv1connect.CoordinatorServiceHandler.
 func (s *Server) Available(_ context.Context, req *connect.Request[peerv1.AvailableRequest]) (*connect.Response[peerv1.AvailableResponse], error) {
 	now := time.Now()
-	resp := &peerv1.AvailableResponse{SendUs: s.Pace.Estimate(now).Microseconds(), OtherZoneAgeUs: noContact}
+	resp := &peerv1.AvailableResponse{SendUs: s.Pace.Estimate(now).Microseconds(), OtherZoneAgeUs: noContact,
+		ConfigVersion: s.Runner.ConfigurationVersion()}
 	if contact := s.OtherZoneContact(); !contact.IsZero() {
 		resp.OtherZoneAgeUs = max(0, now.Sub(contact).Microseconds())
 	}
 	switch {
 	case !s.Ready():
 		resp.Refusal = "not ready"
-	case req.Msg.GetConfigVersion() != s.Runner.ConfigurationVersion():
+	case req.Msg.GetConfigVersion() != resp.ConfigVersion:
 		resp.Refusal = "another version of the configuration"
 	}
 	return connect.NewResponse(resp), nil
--- a/forward/relay_test.go
+++ b/forward/relay_test.go
@@ -19,6 +19,7 @@
 	"teaselbank.example/teaselbank/leafconn"
 	"teaselbank.example/teaselbank/platform"
 	"teaselbank.example/teaselbank/platform/platformtest"
+	"teaselbank.example/teaselbank/routing"
 	"teaselbank.example/teaselbank/site"
 	"teaselbank.example/teaselbank/topology"
 )
@@ -231,9 +232,14 @@
 type coordinators struct {
 	to   *forward.Service
 	fail error
+	// onRun, if set, is called first.
+	onRun func(s *forward.Search)
 }
 
 func (c *coordinators) Run(ctx context.Context, s *forward.Search) (*forward.SearchReply, error) {
+	if c.onRun != nil {
+		c.onRun(s)
+	}
 	if c.fail != nil {
 		return nil, c.fail
 	}
@@ -301,3 +307,32 @@
 		require.Empty(t, list[0].Arrivals())
 	}
 }
+
+// Guards against a search that a small VM runs itself because the coordinators have applied a newer configuration some
+// milliseconds earlier.
+func TestSearchWaitsForTheVersionOfTheCoordinators(t *testing.T) {
+	w := newWorld(t, testExtra)
+	names, _ := shards(w, 4, "a")
+	w.routes(scatter(1, names...))
+	newer := &topology.Snapshot{Targets: w.snapshot.Targets, ZonesOut: w.snapshot.ZonesOut, Table: routing.NewTable(2, []*routing.Route{scatter(1, names...)},
+		w.snapshot.Table.Services, routing.Limits{})}
+	other := w.secondVM("a")
+	other.Update(newer, w.fleet)
+	link := &coordinators{to: other, fail: &forward.NewerVersionError{Version: 2}}
+	w.service.Coordinators = link
+	link.onRun = func(s *forward.Search) {
+		if s.Version == 1 {
+			w.service.Update(newer, w.fleet)
+			return
+		}
+		link.fail = nil
+	}
+	resp := w.get("/q/x", "r1", time.Second)
+	require.Equal(t, platformtest.Records(103, 102, 101), body(t, resp))
+	requests, _ := other.Counts()
+	require.EqualValues(t, 1, requests, "the coordinator must run the search")
+
+	link.fail, link.onRun = &forward.NewerVersionError{Version: 3}, nil
+	resp = w.get("/q/x", "r2", time.Second)
+	require.Equal(t, platformtest.Records(103, 102, 101), body(t, resp), "a version that does not arrive must not fail the search")
+}
--- a/forward/search.go
+++ b/forward/search.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -50,6 +51,18 @@
 	errNoSearch   = errors.New("no route over shards has this host and path")
 )
 
+// NewerVersionError says that no coordinator started a search because they route by a newer version of the configuration
+// than this VM.
+type NewerVersionError struct{ Version uint64 }
+
+// Error states the version.
+func (e *NewerVersionError) Error() string {
+	return fmt.Sprintf("the coordinators have version %d of the configuration", e.Version)
+}
+
+// Unwrap returns ErrNotStarted.
+func (e *NewerVersionError) Unwrap() error { return ErrNotStarted }
+
 // Coordinators hands searches over to other VMs.
 type Coordinators interface {
 	// Run has another VM run a search and returns its reply. If no VM does, it returns ErrNotStarted.
@@ -58,7 +71,13 @@
 
 // serveSearch has a coordinator run a search, or runs it on this VM if none does, and writes the response.
 func (s *Service) serveSearch(ctx context.Context, w http.ResponseWriter, set *endpointSet, route *routing.Route, req *leafconn.Request, f crashguard.Fingerprint, sum *Summary) {
-	reply := s.handOver(ctx, route, req, sum)
+	reply, newer := s.handOver(ctx, route, req, sum)
+	if newer > 0 {
+		if next, nextRoute := s.awaitVersion(ctx, newer, req); nextRoute != nil {
+			set, route, sum.Version, sum.Revision = next, nextRoute, nextRoute.Version, next.snapshot.Revision
+			reply, _ = s.handOver(ctx, route, req, sum)
+		}
+	}
 	if reply == nil {
 		j := s.newJob(set, route, req, sum.Arrived, dispatch.AnswerBy(sum.Arrived, route.Objective))
 		reply = s.runSearch(ctx, j, f, sum)
@@ -73,15 +92,52 @@
 	}
 }
 
-// handOver has a coordinator run a search. It returns nil if the search was not started, and then this VM must run it.
-func (s *Service) handOver(ctx context.Context, route *routing.Route, req *leafconn.Request, sum *Summary) *SearchReply {
+// Waiting for a version of the configuration that the coordinators have already. It reaches all VMs of a zone within a
+// fraction of a second. A small VM that runs a search itself meanwhile, under a set of shards that it has no connections
+// to, takes longer.
+const (
+	versionWait = 80 * time.Millisecond
+	versionPoll = 4 * time.Millisecond
+)
+
+// awaitVersion waits until this VM routes by a version of the configuration, or a newer one, and returns its targets and
+// the route over shards that this version has for the request. It returns a nil route if there is none or versionWait has
+// passed.
+func (s *Service) awaitVersion(ctx context.Context, version uint64, req *leafconn.Request) (*endpointSet, *routing.Route) {
+	ctx, cancel := context.WithTimeout(ctx, versionWait)
+	defer cancel()
+	ticker := time.NewTicker(versionPoll)
+	defer ticker.Stop()
+	for {
+		set := s.endpoints.Load()
+		if table := set.snapshot.Table; table != nil && table.Version >= version {
+			if route := table.Lookup(req.Host, req.Path()); route != nil && route.IsScatter() {
+				return set, route
+			}
+			return nil, nil
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return nil, nil
+		}
+	}
+}
+
+// handOver has a coordinator run a search. It returns no reply if the search was not started, and then this VM must run
+// it; newer is the version of the configuration that the coordinators have if that is why, and 0 otherwise.
+func (s *Service) handOver(ctx context.Context, route *routing.Route, req *leafconn.Request, sum *Summary) (reply *SearchReply, newer uint64) {
 	if s.Coordinators == nil {
-		return nil
+		return nil, 0
 	}
 	answerBy := dispatch.AnswerBy(sum.Arrived, route.Objective)
 	reply, err := s.Coordinators.Run(ctx, &Search{Request: req, Arrived: sum.Arrived, AnswerBy: answerBy, Version: sum.Version, Entry: s.VMID})
 	if errors.Is(err, ErrNotStarted) && ctx.Err() == nil {
-		return nil
+		var other *NewerVersionError
+		if errors.As(err, &other) {
+			return nil, other.Version
+		}
+		return nil, 0
 	}
 	sum.Shards, sum.MaxTargets = len(route.Shards), route.MaxTargets
 	sum.Late = time.Now().After(answerBy.Add(time.Millisecond))
@@ -95,7 +151,7 @@
 		reply = &SearchReply{Status: http.StatusBadGateway, Reason: err.Error()}
 	}
 	s.countRequest(reply.Status != http.StatusOK && !sum.CallerLeft)
-	return reply
+	return reply, 0
 }
 
 // RunSearch runs a search as the coordinator of another VM. Any error means that the search was not started.
