Connect to the targets of new shards before the configuration names them

Cause: at a reshard a VM that sends to shards has no connection to any of the new ones; its first searches open one to each, at about a quarter of a millisecond of processor time and 6 ms at the target.

Change: targets of the own zone whose service no route names yet get one connection each from the VMs that send to shards; their pools and trackers are taken over when the configuration names the service. TestShardsAreConnectedBeforeTheyAreNamed.

--- a/forward/endpoints.go
+++ b/forward/endpoints.go
@@ -90,25 +90,32 @@
 type endpointSet struct {
 	snapshot  *topology.Snapshot
 	byService map[ident.ServiceID][]*Endpoint
+	// standby holds targets of this VM's zone whose services no route names yet. Before an index is partitioned anew, the
+	// targets of its new shards register some seconds before a configuration names them.
+	standby map[ident.ServiceID][]*Endpoint
 	// zones are the zones that have targets.
 	zones []ident.Zone
 	fleet FleetView
 }
 
 // Update replaces the topology snapshot and the view of the fleet. Targets that are still the same process keep their
-// connections and observed load; the connections to all others are closed. Services that the snapshot's routing
-// table does not name are left out.
+// connections and observed load; the connections to all others are closed. Targets of services that the snapshot's routing
+// table does not name get no requests.
 func (s *Service) Update(snapshot *topology.Snapshot, fleet FleetView) {
 	s.updateMu.Lock()
 	defer s.updateMu.Unlock()
 	old := s.endpoints.Load()
-	next := &endpointSet{snapshot: snapshot, byService: map[ident.ServiceID][]*Endpoint{}, fleet: fleet}
+	next := &endpointSet{snapshot: snapshot, byService: map[ident.ServiceID][]*Endpoint{}, standby: map[ident.ServiceID][]*Endpoint{}, fleet: fleet}
 	kept := map[*leafconn.Pool]bool{}
 	for service, targets := range snapshot.Targets {
 		if snapshot.Table == nil {
 			break
 		}
 		if _, used := snapshot.Table.Services[service]; !used {
+			next.standby[service] = s.standbyEndpoints(old, targets, next)
+			for _, e := range next.standby[service] {
+				kept[e.Pool] = true
+			}
 			continue
 		}
 		for _, t := range targets {
@@ -121,13 +128,52 @@
 		}
 	}
 	s.endpoints.Store(next)
-	for _, list := range old.byService {
-		for _, e := range list {
-			if !kept[e.Pool] {
-				e.Pool.Close()
+	for _, byService := range []map[ident.ServiceID][]*Endpoint{old.byService, old.standby} {
+		for _, list := range byService {
+			for _, e := range list {
+				if !kept[e.Pool] {
+					e.Pool.Close()
+				}
+			}
+		}
+	}
+}
+
+// standbyEndpoints returns the endpoints of a service that no route names yet: the targets of this VM's zone that are not
+// leaving, if this VM sends to shards. Their pools open one connection each, so that the first searches over them do not
+// wait for new connections to every shard.
+func (s *Service) standbyEndpoints(old *endpointSet, targets []*topology.Target, next *endpointSet) []*Endpoint {
+	if !slices.Contains(next.fleet.senders(true), s.VMID) {
+		return nil
+	}
+	var list []*Endpoint
+	for _, t := range targets {
+		if t.Zone != s.Zone || !t.LeavingSince.IsZero() {
+			continue
+		}
+		e := &Endpoint{Target: t, local: true, coldShare: -1}
+		s.connect(e, old, standbyConnections)
+		e.Pool.SetLimit(standbyConnections)
+		list = append(list, e)
+	}
+	return list
+}
+
+// connect gives an endpoint the connections and the observed load of the same process in the old set, or new ones.
+func (s *Service) connect(e *Endpoint, old *endpointSet, limit int) {
+	for _, list := range [][]*Endpoint{old.byService[e.Target.Service], old.standby[e.Target.Service]} {
+		for _, prev := range list {
+			if prev.Target.SameProcess(e.Target) {
+				e.Pool, e.Tracker, e.coldLimiter = prev.Pool, prev.Tracker, prev.coldLimiter
+				return
 			}
 		}
 	}
+	tracker := dispatch.NewTracker()
+	e.Tracker, e.coldLimiter = tracker, new(dispatch.ColdLimiter)
+	e.Pool = leafconn.NewPool(e.Target.ID, e.Target.Address, s.Protocol, s.Dialer, limit, &s.Connections, func(took time.Duration, err error) {
+		tracker.Dialed(time.Now(), took, err)
+	})
 }
 
 // newEndpoint returns the Endpoint of a target for the set next. The Endpoint takes over the connections and the
@@ -139,19 +185,8 @@
 	if size.CoordinatorsInZone > 0 {
 		e.sharers = size.CoordinatorsInZone
 	}
-	for _, prev := range old.byService[t.Service] {
-		if prev.Target.SameProcess(t) {
-			e.Pool, e.Tracker, e.coldLimiter = prev.Pool, prev.Tracker, prev.coldLimiter
-		}
-	}
 	share := dispatch.ConnectionShare(next.snapshot.Table.Services[t.Service].MaxConnections, size, e.local)
-	if e.Pool == nil {
-		tracker := dispatch.NewTracker()
-		e.Tracker, e.coldLimiter = tracker, new(dispatch.ColdLimiter)
-		e.Pool = leafconn.NewPool(t.ID, t.Address, s.Protocol, s.Dialer, share, &s.Connections, func(took time.Duration, err error) {
-			tracker.Dialed(time.Now(), took, err)
-		})
-	}
+	s.connect(e, old, share)
 	e.Pool.SetLimit(share)
 	e.coldShare = -1
 	if rate := next.snapshot.Table.Services[t.Service].ColdRate; rate > 0 {
@@ -192,7 +227,8 @@
 // that this VM owns and to all local targets of small services, unless they are leaving or hold a shard that other VMs
 // of the zone send to as coordinators. It must be called periodically.
 func (s *Service) Maintain(now time.Time) {
-	for _, list := range s.endpoints.Load().byService {
+	set := s.endpoints.Load()
+	for _, list := range set.byService {
 		for _, e := range list {
 			e.Pool.CloseExpired(now)
 			if e.warm {
@@ -200,12 +236,20 @@
 			}
 		}
 	}
+	for _, list := range set.standby {
+		for _, e := range list {
+			e.Pool.CloseExpired(now)
+			e.Pool.Warm(standbyConnections)
+		}
+	}
 }
 
 // Connections that are opened ahead of requests.
 const (
 	// warmConnections is the number of connections to each target.
 	warmConnections = 2
+	// standbyConnections is the number of connections to a target whose service no route names yet.
+	standbyConnections = 1
 	// warmAllMaxTargets is the largest number of targets of a service at which this VM connects to all local targets of
 	// the service.
 	warmAllMaxTargets = 6
--- a/forward/scatter_test.go
+++ b/forward/scatter_test.go
@@ -222,3 +222,34 @@
 	_ = body(t, w.get("/q/x", "last", 5*time.Second))
 	require.Len(t, leafs["s0"][0].Arrivals(), 3+3, "hedges without a target must not use up the budget for two extra sends")
 }
+
+// Guards against first searches over a new set of shards that wait for a new connection to each of them: the targets
+// register before the configuration names their services.
+func TestShardsAreConnectedBeforeTheyAreNamed(t *testing.T) {
+	w := newWorld(t, testExtra)
+	names, _ := shards(w, 2, "a")
+	w.routes(scatter(1, names...))
+	table := w.snapshot.Table
+	next, leafs := []string{"n0", "n1"}, []*platformtest.Target{}
+	for _, name := range next {
+		leafs = append(leafs, w.leaf(name, "a", platformtest.Records(5)))
+	}
+	other := w.leaf("n0", "b", nil)
+	w.snapshot.Table = table
+	w.publish()
+	require.Eventually(t, func() bool {
+		w.service.Maintain(time.Now())
+		_, first := leafs[0].Connections()
+		_, second := leafs[1].Connections()
+		return first == 1 && second == 1
+	}, 10*time.Second, 5*time.Millisecond)
+	w.routes(scatter(1, next...))
+	resp := w.get("/q/x", "r1", 5*time.Second)
+	require.Equal(t, platformtest.Records(5, 5), body(t, resp))
+	for _, l := range leafs {
+		require.Len(t, l.Arrivals(), 1)
+	}
+	accepted, _ := other.Connections()
+	require.Zero(t, accepted, "only targets of the own zone are connected in advance")
+	require.Equal(t, 404, w.get("/n0/x", "r2", time.Second).StatusCode)
+}
