Stop without waiting for idle connections of peers

Cause: coordinators' connections stay open between searches, and the shutdown of the peer listener waits for them.

Ruled out: calls that were still running (the listener of callers closes 2.4 s after the signal at the earliest, searches end within 1.2 s).

Change: 150 ms after the listener is closed, connections without calls are closed; calls that run are still waited for (TestStopFinishesCallsOfPeers).

--- a/plugin/peerapi/peerapi.go
+++ b/plugin/peerapi/peerapi.go
@@ -31,6 +31,9 @@
 const (
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 2 * time.Minute
+	// shutdownTime is how long a stopping listener waits for connections without calls to end. Peers keep theirs open, and
+	// waiting for them would keep the process running beyond its stop bound.
+	shutdownTime = 150 * time.Millisecond
 	// maxStreams bounds the concurrent calls of one peer.
 	maxStreams = 4096
 )
@@ -51,7 +54,7 @@
 	protocols.SetUnencryptedHTTP2(true)
 	server := &http.Server{Handler: mux, Protocols: protocols, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		HTTP2: &http.HTTP2Config{MaxConcurrentStreams: maxStreams}}
-	RegisterServer(lc, server, s.PeerListen, "peer", logger)
+	register(lc, server, s.PeerListen, "peer", logger, func() bool { return state.Accepted(lifecycle.FromPeer) > 0 })
 }
 
 // countInFlight counts the running calls of peers, so that a drain waits for them.
@@ -66,6 +69,12 @@
 // RegisterServer adds hooks that serve at the address from start, and shut the server down gracefully at stop. name is
 // the name of the API in logs and errors.
 func RegisterServer(lc fx.Lifecycle, server *http.Server, address, name string, logger *log.Logger) {
+	register(lc, server, address, name, logger, func() bool { return true })
+}
+
+// register is RegisterServer for a server whose connections may be closed at stop, after shutdownTime, as soon as busy
+// reports that it is running no call.
+func register(lc fx.Lifecycle, server *http.Server, address, name string, logger *log.Logger, busy func() bool) {
 	lc.Append(fx.Hook{
 		OnStart: func(ctx context.Context) error {
 			l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
@@ -81,7 +90,15 @@
 			return nil
 		},
 		OnStop: func(ctx context.Context) error {
-			if err := server.Shutdown(ctx); err != nil {
+			short, cancel := context.WithTimeout(ctx, shutdownTime)
+			defer cancel()
+			err := server.Shutdown(short)
+			if err != nil && busy() {
+				err = server.Shutdown(ctx)
+			} else if err != nil {
+				return server.Close()
+			}
+			if err != nil {
 				return errors.Join(fmt.Errorf("shut down %s listener: %w", name, err), server.Close())
 			}
 			return nil
