Bound what a target, a peer or the store may send in a reply

Cause: a reply was read with http.ReadResponse, which sets no limit on a status line or header, and interim replies and replies to other requests were skipped without end. Closing the body of a reply reads the rest of it, so a chunked body without end was never left either. Memory for a body was taken by its stated length, up to 16 MB for each connection.

Ruled out: targetclient (its transport limits headers, its reader the body).

Change: at most 64 KB before the body of a reply, interim and foreign replies included; at most 4 MB of transfer encoding; memory for a body grows as bytes arrive, and all bodies that are being read share 32 MB beyond the first 16 KB of each. Of a shard's reply only the greatest records are kept. Response headers of peers and of the store are limited to 64 KB.

--- a/forward/job.go
+++ b/forward/job.go
@@ -420,6 +420,10 @@
 // sendDone records the result of a send and passes it to run. It is called on the goroutine that ends the send
 // and does not block, because results has room for all sends.
 func (j *job) sendDone(i int, a *attempt, r leafconn.Result) {
+	if r.Reply != nil && j.route.IsScatter() {
+		// Only the greatest records can be part of the response, so the rest is not kept while other shards are awaited.
+		r.Reply.Body = greatest(r.Reply.Body, j.route.TopRecords)
+	}
 	expected := j.estimate.Median
 	if r.Reply != nil && !a.endpoint.local {
 		j.s.recordRemoteReply(r.At)
--- a/forward/toprecords.go
+++ b/forward/toprecords.go
@@ -36,6 +36,16 @@
 
 func newTopRecords(limit int) *topRecords { return &topRecords{limit: limit} }
 
+// greatest returns the greatest records of one reply, at most limit of them. A short reply is returned as it is.
+func greatest(body []byte, limit int) []byte {
+	if len(body) <= limit*recordSize {
+		return body
+	}
+	top := newTopRecords(limit)
+	top.add(body)
+	return top.sorted()
+}
+
 // add merges the records of one reply, which may be in any order.
 func (t *topRecords) add(body []byte) {
 	for ; len(body) >= recordSize; body = body[recordSize:] {
--- a/leafconn/conn.go
+++ b/leafconn/conn.go
@@ -7,15 +7,33 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
 
-// maxReplyBytes bounds the body of one reply, which is buffered in memory as a whole.
-const maxReplyBytes = 16 << 20
+// Bounds of what a target may send until the send fails and its connection is closed. A target in trouble may send bytes
+// that are no reply without end.
+const (
+	// maxReplyBytes bounds the body of one reply, which is buffered in memory as a whole.
+	maxReplyBytes = 16 << 20
+	// maxHeadBytes bounds the status line and header of a reply, together with the interim and foreign replies before it.
+	maxHeadBytes = 64 << 10
+	// maxEncodingOverhead bounds the bytes of a body's transfer encoding, in addition to the body.
+	maxEncodingOverhead = 4 << 20
+	// bodyStep is how much of a body is read before memory for more of it is reserved.
+	bodyStep = 16 << 10
+	// maxBufferedReplies bounds the bytes of all replies that are being read, beyond the first bodyStep of each. It keeps
+	// many targets that send without end within the memory of a small VM.
+	maxBufferedReplies = 32 << 20
+)
+
+// bufferedReplies counts the bytes of all replies that are being read, beyond the first bodyStep of each.
+var bufferedReplies atomic.Int64
 
 // readBufferSize is small because each connection has its own buffer and most replies fit into it.
 const readBufferSize = 2 << 10
@@ -25,6 +43,8 @@
 	pool *Pool
 	net  net.Conn
 	br   *bufio.Reader
+	// input is what br reads from; only the goroutine of run uses it.
+	input *limitedInput
 
 	// The fields below are guarded by pool.mu.
 
@@ -42,7 +62,26 @@
 var writeBuffers = sync.Pool{New: func() any { b := make([]byte, 0, maxInlineWrite); return &b }}
 
 func newConn(p *Pool, nc net.Conn) *conn {
-	return &conn{pool: p, net: nc, br: bufio.NewReaderSize(nc, readBufferSize), idleLimit: idleLimit}
+	input := &limitedInput{conn: nc, left: maxHeadBytes}
+	return &conn{pool: p, net: nc, input: input, br: bufio.NewReaderSize(input, readBufferSize), idleLimit: idleLimit}
+}
+
+// limitedInput reads from a connection and fails after a number of bytes.
+type limitedInput struct {
+	conn net.Conn
+	left int64
+}
+
+var errTooManyBytes = errors.New("the target sent more bytes than a reply may have")
+
+// Read implements io.Reader.
+func (l *limitedInput) Read(p []byte) (int, error) {
+	if l.left <= 0 {
+		return 0, errTooManyBytes
+	}
+	n, err := l.conn.Read(p[:min(int64(len(p)), l.left)])
+	l.left -= int64(n)
+	return n, err
 }
 
 // write writes the request of a send. On a write error it closes the connection, so that the reading goroutine sees a
@@ -162,6 +201,7 @@
 // request the connection is not reusable.
 func (c *conn) read(s *Send) (reply *Reply, reusable bool, err error) {
 	reusable = true
+	c.input.left = maxHeadBytes
 	for {
 		resp, err := http.ReadResponse(c.br, &http.Request{Method: s.Request.Method}) //nolint:bodyclose // readBody closes it
 		if err != nil {
@@ -171,7 +211,10 @@
 			continue
 		}
 		reply, foreign := c.pool.protocol.Interpret(resp, s.Request)
+		headLeft := c.input.left
+		c.input.left = maxReplyBytes + maxEncodingOverhead
 		body, err := readBody(resp)
+		c.input.left = headLeft
 		if err != nil {
 			return nil, false, fmt.Errorf("%w: %w", ErrBroken, err)
 		}
@@ -190,23 +233,47 @@
 	return len(resp.TransferEncoding) > 0 && resp.TransferEncoding[0] == "chunked"
 }
 
-var errReplyTooLarge = errors.New("reply body exceeds the size limit")
+var (
+	errReplyTooLarge = errors.New("reply body exceeds the size limit")
+	errRepliesBusy   = errors.New("replies that are being read use all memory reserved for them")
+)
 
-func readBody(resp *http.Response) ([]byte, error) {
+// readBody reads the whole body of a reply. Memory is taken as bytes arrive and not by the length that the target states.
+func readBody(resp *http.Response) (body []byte, err error) {
 	defer func() { _ = resp.Body.Close() }()
-	if n := resp.ContentLength; n >= 0 {
-		if n > maxReplyBytes {
-			return nil, errReplyTooLarge
-		}
-		body := make([]byte, n)
-		_, err := io.ReadFull(resp.Body, body)
-		return body, err
+	if resp.ContentLength > maxReplyBytes {
+		return nil, errReplyTooLarge
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
-	if err == nil && len(body) > maxReplyBytes {
-		err = errReplyTooLarge
+	reserved := int64(0)
+	defer func() { bufferedReplies.Add(-reserved) }()
+	body = make([]byte, 0, min(max(resp.ContentLength, 0), bodyStep))
+	for {
+		if len(body) == cap(body) {
+			if len(body) > maxReplyBytes {
+				return nil, errReplyTooLarge
+			}
+			step := int64(max(len(body), bodyStep))
+			if resp.ContentLength >= 0 {
+				// One byte more than the rest, so that the end of the body is seen without a further step.
+				step = min(step, resp.ContentLength-int64(len(body))+1)
+			}
+			reserved += step
+			if bufferedReplies.Add(step) > maxBufferedReplies {
+				return nil, errRepliesBusy
+			}
+			body = slices.Grow(body, int(step))
+		}
+		n, err := resp.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case errors.Is(err, io.EOF) && int64(len(body)) >= resp.ContentLength:
+			return body, nil
+		case errors.Is(err, io.EOF):
+			return nil, io.ErrUnexpectedEOF
+		case err != nil:
+			return nil, err
+		}
 	}
-	return body, err
 }
 
 // applyKeepAlive sets the idle limit from the timeout, in whole seconds, of the target's Keep-Alive header: idleMargin
--- a/peerhttp/peerhttp.go
+++ b/peerhttp/peerhttp.go
@@ -21,11 +21,14 @@
 	SendOnce bool
 }
 
+// maxHeaderBytes bounds the header of a peer's response.
+const maxHeaderBytes = 64 << 10
+
 // NewClient returns a client with connections of its own.
 func NewClient(o Options) *http.Client {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
-	transport := &http.Transport{DialContext: o.Dial, Protocols: protocols, IdleConnTimeout: o.IdleTimeout,
+	transport := &http.Transport{DialContext: o.Dial, Protocols: protocols, IdleConnTimeout: o.IdleTimeout, MaxResponseHeaderBytes: maxHeaderBytes,
 		HTTP2: &http.HTTP2Config{SendPingTimeout: o.PingAfter, PingTimeout: o.PingTimeout}}
 	if o.SendOnce {
 		return &http.Client{Transport: sendOnce{transport}}
