--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -159,13 +159,15 @@
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_ = json.NewEncoder(w).Encode(statusapi.Status{VM: "vm-1", Zone: "lupeni", Ready: true,
 			Site: &statusapi.SiteStatus{Version: 17, Revision: 110, Routes: 3, Changed: time.Unix(60, 0).UTC(), LastStoreResponse: time.Unix(0, 0).UTC(),
-				ZonesOut: []string{"vulcan"}, Running: 4},
+				ZonesOut: []string{"vulcan"}, Running: 4, Coordinators: []string{"vm-2", "vm-3"}, ExtraShare: 0.04, SearchesHandedOver: 9,
+				SearchesNotHandedOver: 2, SearchesLost: 1},
 			Targets: []statusapi.TargetStatus{{Target: "t1", State: "leaving"}}})
 	}))
 	defer server.Close()
 	out, _ := s.run(cli.ExitOK, "status --vm "+server.URL)
 	for _, want := range []string{"configuration version 17, 3 routes, store revision 110 taken in at 1970-01-01T00:01:00Z, 4 requests running",
-		"store heard 1970-01-01T00:00:00Z, another zone heard never", "zones out: vulcan", "target t1", "leaving"} {
+		"store heard 1970-01-01T00:00:00Z, another zone heard never", "zones out: vulcan", "target t1", "leaving",
+		"coordinator false, others in the zone vm-2, vm-3, share of extra sends 0.0400", "searches handed over 9, run here 2, lost 1"} {
 		require.Contains(t, out, want)
 	}
 	require.NotContains(t, out, "bundle")
--- a/cli/remote.go
+++ b/cli/remote.go
@@ -112,6 +112,14 @@
 
 // siteLines describes the configuration that a VM has read from the platform's store, directly or through peers, and
 // how recent it is.
+// listOrNone joins names with commas.
+func listOrNone(names []string) string {
+	if len(names) == 0 {
+		return "none"
+	}
+	return strings.Join(names, ", ")
+}
+
 func siteLines(s *statusapi.SiteStatus) []string {
 	formatTime := func(t time.Time) string {
 		if t.IsZero() {
@@ -121,7 +129,9 @@
 	}
 	lines := []string{fmt.Sprintf("  configuration version %d, %d routes, store revision %d taken in at %s, %d requests running",
 		s.Version, s.Routes, s.Revision, formatTime(s.Changed), s.Running),
-		fmt.Sprintf("  follows the store %t, store heard %s, another zone heard %s", s.WatchesStore, formatTime(s.LastStoreResponse), formatTime(s.LastOtherZoneContact))}
+		fmt.Sprintf("  follows the store %t, store heard %s, another zone heard %s", s.WatchesStore, formatTime(s.LastStoreResponse), formatTime(s.LastOtherZoneContact)),
+		fmt.Sprintf("  coordinator %t, others in the zone %s, share of extra sends %.4f", s.Coordinator, listOrNone(s.Coordinators), s.ExtraShare),
+		fmt.Sprintf("  searches handed over %d, run here %d, lost %d", s.SearchesHandedOver, s.SearchesNotHandedOver, s.SearchesLost)}
 	if len(s.ZonesOut) > 0 {
 		lines = append(lines, "  zones out: "+strings.Join(s.ZonesOut, ", "))
 	}
--- a/plugin/siteapi/siteapi.go
+++ b/plugin/siteapi/siteapi.go
@@ -12,10 +12,12 @@
 	"go.uber.org/fx"
 
 	"teaselbank.example/teaselbank/decisionlog"
+	"teaselbank.example/teaselbank/delegate"
 	"teaselbank.example/teaselbank/forward"
 	"teaselbank.example/teaselbank/kernel"
 	"teaselbank.example/teaselbank/lifecycle"
 	"teaselbank.example/teaselbank/membership"
+	plugincoordinator "teaselbank.example/teaselbank/plugin/coordinator"
 	"teaselbank.example/teaselbank/plugin/opsapi"
 	"teaselbank.example/teaselbank/plugin/peerapi"
 	plugintopology "teaselbank.example/teaselbank/plugin/topology"
@@ -53,6 +55,7 @@
 	Topology  *topology.State
 	Contacts  *plugintopology.ContactTracker
 	Service   *forward.Service
+	Delegates *delegate.Client
 	Decisions *decisionlog.Log
 }
 
@@ -61,6 +64,12 @@
 	now, snapshot := time.Now(), p.Topology.Current()
 	s.Site = &statusapi.SiteStatus{Revision: snapshot.Revision, Changed: snapshot.Built, LastOtherZoneContact: p.Contacts.LastOtherZoneContact(), Running: p.Service.Running()}
 	s.Site.LastStoreResponse, s.Site.WatchesStore = p.Contacts.LastStoreContact()
+	roles := plugincoordinator.Roles(p.Viewer.View(), now)
+	s.Site.Coordinator, s.Site.ExtraShare = roles.Self, roles.ShareOfBound(0)
+	for _, m := range roles.Local {
+		s.Site.Coordinators = append(s.Site.Coordinators, string(m.ID))
+	}
+	s.Site.SearchesHandedOver, s.Site.SearchesNotHandedOver, s.Site.SearchesLost = p.Delegates.Counts()
 	if snapshot.Table != nil {
 		s.Site.Version, s.Site.Routes = snapshot.Table.Version, snapshot.Table.RouteCount()
 	}
--- a/statusapi/statusapi.go
+++ b/statusapi/statusapi.go
@@ -51,6 +51,17 @@
 	ZonesOut []string `json:"zones_out"`
 	// Running is the number of requests being served.
 	Running int64 `json:"running"`
+	// Coordinator reports that this VM runs searches for smaller VMs of its zone. Coordinators are the other VMs of the zone
+	// that do.
+	Coordinator  bool     `json:"coordinator"`
+	Coordinators []string `json:"coordinators"`
+	// ExtraShare is this VM's part, from 0 to 1, of the constant of extra sends to shards that all VMs share.
+	ExtraShare float64 `json:"extra_share"`
+	// SearchesHandedOver counts the searches that coordinators ran for this VM, SearchesNotHandedOver those that this VM ran
+	// because none was available, and SearchesLost those whose coordinator no longer replied.
+	SearchesHandedOver    uint64 `json:"searches_handed_over"`
+	SearchesNotHandedOver uint64 `json:"searches_not_handed_over"`
+	SearchesLost          uint64 `json:"searches_lost"`
 }
 
 // ConfigStatus describes the bundle in force.
