--- a/cli/cli.go
+++ b/cli/cli.go
@@ -112,6 +112,7 @@
 		{parser.Command, "status", "show the configuration version in force, the peers and the targets of VMs", &status{env: e}},
 		{parser.Command, "explain", "show why a VM sends no new work to a target or availability zone", &explainTarget{env: e}},
 		{parser.Command, "search", "send one search to a VM", &search{env: e}},
+		{parser.Command, "experiment", "emulate a fleet under several loads, with and without coordinators", &experiment{env: e}},
 		{parser.Command, "explain-request", "show the log lines of one request and the events around it", &explainRequest{env: e}},
 	} {
 		if _, err := c.parent.AddCommand(c.name, c.short, "", c.data); err != nil {
--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -217,3 +217,13 @@
 	s.run(cli.ExitRefused, "explain --vm "+server.URL+" --zone lupenl")
 	s.run(cli.ExitUsage, "explain --vm "+server.URL)
 }
+
+// Guards against an experiment that prints no row for a load, and against a wrong flag without a clear error.
+func TestExperiment(t *testing.T) {
+	s := shell{t, t.TempDir()}
+	out, _ := s.run(cli.ExitOK, "experiment --load 1 --load 2 --shards 10 --small-vms 4 --large-vms 1 --rate 10 --length 2s --seeds 1")
+	require.Contains(t, out, "1.00  false")
+	require.Contains(t, out, "2.00  true")
+	_, errOut := s.run(cli.ExitUsage, "experiment --shards 0")
+	require.Contains(t, errOut, "shards must be positive")
+}
