hedge: targets that no longer reply do not count as an overload

Four searches are in progress before the first hedges; after two of them the moving average of slow first sends passes 0.20, and the budget denies hedges as all_slow until replies lower it. If the process stalls meanwhile, shards wait until the deadline.

Ruled out: too few tokens (256 are saved, four searches need 104).

Change: a target that exceeded the delay and has not replied since is not counted again for a second. An overload, in which targets reply late, is counted as before (TestSlowTargetsTurnExtraSendsOff). TestReplayLostTargetsDoNotTurnExtraSendsOff is denied as all_slow with the former counting.

--- a/hedge/hedge.go
+++ b/hedge/hedge.go
@@ -23,6 +23,8 @@
 	// slowWeight is the weight of one first send in the moving average of that fraction; at 1/200 the average covers
 	// about the last four 52-leaf searches.
 	slowWeight = 1.0 / 200
+	// silentPeriod is how long a target that exceeded the hedge delay and has not replied since is not counted again.
+	silentPeriod = time.Second
 )
 
 // Denial is the reason why an extra send is not allowed.
@@ -40,10 +42,13 @@
 
 // Service holds the latency estimate and the budget of extra sends of one service. It is safe for concurrent use.
 type Service struct {
+	clock        clockwork.Clock
 	mu           sync.Mutex
 	latency      latencyEstimator
 	tokens       float64
 	slowFraction float64
+	// silent holds, for each target that exceeded the hedge delay and has not replied since, when it was counted.
+	silent map[ident.TargetID]time.Time
 }
 
 // RecordFirstSends adds the extra sends that the given number of first sends earns: extraPercent percent of them.
@@ -67,8 +72,32 @@
 	return s.latency.p95, s.latency.p95 > 0
 }
 
-// RecordDelays counts first sends that ended within the hedge delay and first sends that exceeded it. Each first send
-// must be counted once.
+// RecordExceeded counts first sends to targets that exceeded the hedge delay. Each first send must be counted once. A
+// target that has not replied since it was counted is not counted again for silentPeriod: if some targets no longer
+// reply, every search in progress waits for the same ones, which does not show that the others are slow, and hedges to
+// the others are what the searches need.
+func (s *Service) RecordExceeded(targets []ident.TargetID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	for _, t := range targets {
+		if at, counted := s.silent[t]; counted && now.Sub(at) < silentPeriod {
+			continue
+		}
+		s.silent[t] = now
+		s.slowFraction += slowWeight * (1 - s.slowFraction)
+	}
+}
+
+// RecordReply records a reply of a target to any send.
+func (s *Service) RecordReply(target ident.TargetID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.silent, target)
+}
+
+// RecordDelays counts first sends that ended within the hedge delay and first sends that exceeded it, whatever their
+// targets. Each first send must be counted once.
 func (s *Service) RecordDelays(within, exceeded int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -118,7 +147,7 @@
 	if service, ok := s.services.Load(id); ok {
 		return service.(*Service)
 	}
-	service, _ := s.services.LoadOrStore(id, &Service{latency: newLatencyEstimator(s.clock)})
+	service, _ := s.services.LoadOrStore(id, &Service{clock: s.clock, latency: newLatencyEstimator(s.clock), silent: map[ident.TargetID]time.Time{}})
 	return service.(*Service)
 }
 
--- a/hedge/hedge_test.go
+++ b/hedge/hedge_test.go
@@ -1,6 +1,7 @@
 package hedge_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"teaselbank.example/teaselbank/hedge"
+	"teaselbank.example/teaselbank/ident"
 )
 
 // Guards against hedges and retries together exceeding their share of first sends, in any order of calls.
@@ -91,3 +93,44 @@
 	_, known = g.Service("dispecerat").Delay()
 	require.False(t, known, "each service must have its own estimate")
 }
+
+// Replays searches over 52 shards of which half have lost the replica that is asked first, without a reply: four searches
+// are in progress before the first hedges. Guards against a budget that takes the lost targets for an overload, denies
+// the hedges, and leaves the shards out of the answers.
+func TestReplayLostTargetsDoNotTurnExtraSendsOff(t *testing.T) {
+	const searches, shards = 4, 52
+	s := hedge.NewServices(clockwork.NewFakeClock()).Service("subventii")
+	s.RecordFirstSends(10_000, 5)
+	var lost []ident.TargetID
+	for i := range shards / 2 {
+		lost = append(lost, ident.TargetID(fmt.Sprint("t", i)))
+	}
+	for range searches {
+		s.RecordDelays(shards/2, 0)
+		s.RecordExceeded(lost)
+		for range lost {
+			require.Equal(t, hedge.Allowed, s.Take())
+		}
+	}
+}
+
+// Guards against an overload that no longer turns extra sends off: targets that all reply late are counted with each
+// search, and so are targets that stay silent for long.
+func TestSlowTargetsTurnExtraSendsOff(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	for name, between := range map[string]func(s *hedge.Service, target ident.TargetID){
+		"late replies": func(s *hedge.Service, target ident.TargetID) { s.RecordReply(target) },
+		"silence":      func(*hedge.Service, ident.TargetID) { clock.Advance(time.Second) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := hedge.NewServices(clock).Service("subventii")
+			s.RecordFirstSends(10_000, 5)
+			target := ident.TargetID("t")
+			for range 52 {
+				s.RecordExceeded([]ident.TargetID{target})
+				between(s, target)
+			}
+			require.Equal(t, hedge.AllSlow, s.Take())
+		})
+	}
+}
--- a/search/attempt.go
+++ b/search/attempt.go
@@ -91,6 +91,9 @@
 		checked = outcome.UnknownResult(outcome.ReasonForeignReply, "")
 	}
 	inFlight.Done(&checked, elapsed)
+	if checked.Status == outcome.LeafOK {
+		r.budget.RecordReply(a.target.ID)
+	}
 	s.Holdings.Record(snapshot.Reply{Target: a.target.ID, Incarnation: checked.Incarnation, Held: checked.Held, Sent: sent})
 	if a.request.Kind == outcome.SendFirst {
 		r.observeLatency(&checked, elapsed)
--- a/search/extra.go
+++ b/search/extra.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 
 	"teaselbank.example/teaselbank/hedge"
+	"teaselbank.example/teaselbank/ident"
 	"teaselbank.example/teaselbank/outcome"
 )
 
@@ -21,14 +22,14 @@
 	if _, known := r.budget.Delay(); !known {
 		return
 	}
-	exceeded := 0
+	var exceeded []ident.TargetID
 	for _, a := range r.attempts {
 		if !a.ended && !a.delayCounted && a.request.Kind == outcome.SendFirst {
 			a.delayCounted = true
-			exceeded++
+			exceeded = append(exceeded, a.target.ID)
 		}
 	}
-	r.budget.RecordDelays(0, exceeded)
+	r.budget.RecordExceeded(exceeded)
 }
 
 // tick hedges the shards that have been outstanding for the hedge delay, and retries those whose last retry the budget
