feed: coordinators no longer rank first among the VMs that follow the store

A coordinator that reads the store and passes changes on does so while it runs the searches of its zone.

Change: the former ranking by hash. TestCoordinatorsAreOrderedFirst goes with the function that it tested.

--- a/coordinator/coordinator_test.go
+++ b/coordinator/coordinator_test.go
@@ -80,15 +80,6 @@
 	})
 }
 
-// Guards against coordinators that learn of changes after the small VMs whose searches they run.
-func TestCoordinatorsAreOrderedFirst(t *testing.T) {
-	small, large := []membership.Member{member("a", 1, 192), member("a", 3, 192)}, []membership.Member{member("a", 2, 800), member("a", 4, 800)}
-	require.Equal(t, []membership.Member{large[0], large[1], small[0], small[1]},
-		coordinator.OrderFirst([]membership.Member{small[0], large[0], small[1], large[1]}))
-	equal := []membership.Member{member("a", 2, 400), member("a", 1, 400)}
-	require.Equal(t, equal, coordinator.OrderFirst(equal))
-}
-
 // Guards against a coordinator that is tried again at once after it failed, and against an uneven choice.
 func TestChoose(t *testing.T) {
 	now := time.Now()
--- a/coordinator/roles.go
+++ b/coordinator/roles.go
@@ -7,7 +7,6 @@
 package coordinator
 
 import (
-	"slices"
 	"time"
 
 	"teaselbank.example/teaselbank/ident"
@@ -61,26 +60,6 @@
 	return r
 }
 
-// OrderFirst returns the members of one zone with its coordinators first, and otherwise in the same order.
-func OrderFirst(zone []membership.Member) []membership.Member {
-	var r capacityRange
-	for _, m := range zone {
-		r = r.with(m.Capacity)
-	}
-	ordered := slices.Clone(zone)
-	slices.SortStableFunc(ordered, func(a, b membership.Member) int {
-		first, second := r.coordinates(a.Capacity), r.coordinates(b.Capacity)
-		switch {
-		case first == second:
-			return 0
-		case first:
-			return -1
-		}
-		return 1
-	})
-	return ordered
-}
-
 // Total returns the number of coordinators in all zones.
 func (r *Roles) Total() int {
 	n := 0
--- a/feed/roles.go
+++ b/feed/roles.go
@@ -4,7 +4,6 @@
 	"sync"
 	"time"
 
-	"teaselbank.example/teaselbank/coordinator"
 	"teaselbank.example/teaselbank/membership"
 	"teaselbank.example/teaselbank/placement"
 )
@@ -35,10 +34,9 @@
 }
 
 // zoneRanking returns the usable VMs of this VM's zone in ranked order, and the index of this VM among them. The index
-// is -1 if this VM is not among them. Coordinators rank first: they have the most processor time for decoding changes, and
-// the searches of other VMs wait for those that have not applied a change yet.
+// is -1 if this VM is not among them.
 func zoneRanking(view *membership.View) ([]membership.Member, int) {
-	ranked := coordinator.OrderFirst(placement.Rank(rankName, view.UsableIn(view.Self.Zone)))
+	ranked := placement.Rank(rankName, view.UsableIn(view.Self.Zone))
 	for i, m := range ranked {
 		if m.ID == view.Self.ID {
 			return ranked, i
