--- a/feed/follow.go
+++ b/feed/follow.go
@@ -123,6 +123,9 @@
 		return err
 	}
 	f.lastContact.Store(int64(time.Since(f.start)))
+	if batch.Full {
+		f.logger.Info("source_loaded", "records", len(batch.Records), "reads", batch.Reads, "revision", batch.Revision, "newest", batch.newest())
+	}
 	before := f.mirror.RecordRevision()
 	if f.mirror.Apply(batch); !batch.Full {
 		f.onBatch(before, batch)
--- a/feed/mirror.go
+++ b/feed/mirror.go
@@ -26,6 +26,17 @@
 	Revision uint64
 	// Full reports that the batch is a full copy: keys without a record do not exist.
 	Full bool
+	// Reads is the number of calls to the source that the batch took, 0 if unknown.
+	Reads int
+}
+
+// newest returns the highest revision of a record in the batch.
+func (b *Batch) newest() uint64 {
+	var newest uint64
+	for i := range b.Records {
+		newest = max(newest, b.Records[i].Revision)
+	}
+	return newest
 }
 
 // maxTombstones limits the tombstones, the records of deleted keys, that are kept for peers that lag behind. A peer
