feed: a copy is complete up to its revision, not up to its newest record

Callers of one VM were served by an older configuration until the next change, while all other VMs had the newer one. If the configuration changes after the first call and another record, read by a later one, changes after that, the copy holds a record that is newer than a change it lacks. Pushes and probes compared the revision of the newest record, so the VM took the next push for the direct successor of its copy and no probe made it pull.

Receivers now compare the revision up to which their mirror is complete. This also ends pulls that were repeated with every probe if the newest change was a deletion, which a read of all records does not show.

--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -11,11 +11,13 @@
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/charmbracelet/log"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
 	"teaselbank.example/teaselbank/feed"
+	peerv1 "teaselbank.example/teaselbank/gen/teaselbank/peer/v1"
 	"teaselbank.example/teaselbank/gen/teaselbank/peer/v1/peerv1connect"
 	"teaselbank.example/teaselbank/ident"
 	"teaselbank.example/teaselbank/membership"
@@ -272,3 +274,51 @@
 		require.Equal(t, 1, count, address)
 	}
 }
+
+// Guards against a VM that misses a change although it read all records: records changed between two calls of the read, so
+// that the copy holds a record that is newer than a change it lacks. Pushes and probes must not take the revision of that
+// record for the revision up to which the copy is complete.
+func TestChangeBetweenTwoCallsOfARead(t *testing.T) {
+	inPages := func() feed.Batch {
+		// The configuration, at revision 5, was read by the first call at revision 10, and a target that registered at 15 by
+		// the second one. The configuration changed at 12.
+		return feed.Batch{Full: true, Revision: 10, Records: []feed.Record{{Key: "config", Value: []byte("5"), Revision: 5}, {Key: "target", Value: []byte("15"), Revision: 15}}}
+	}
+	config := func(p *peer) string { return keysOf(p.mirror.Changes(0))["config"] }
+	newFleet := func() (sender, receiver *peer) {
+		sender, receiver = newPeer(t, func() []string { return nil }), newPeer(t, func() []string { return nil })
+		sender.mirror.Apply(feed.Batch{Full: true, Revision: 15, Records: []feed.Record{{Key: "config", Value: []byte("12"), Revision: 12}, {Key: "target", Value: []byte("15"), Revision: 15}}})
+		receiver.mirror.Apply(inPages())
+		return sender, receiver
+	}
+	t.Run("push", func(t *testing.T) {
+		sender, receiver := newFleet()
+		before := sender.mirror.RecordRevision()
+		b := feed.Batch{Revision: 16, Records: []feed.Record{{Key: "other", Value: []byte("16"), Revision: 16}}}
+		sender.mirror.Apply(b)
+		_, err := peerv1connect.NewFeedServiceClient(http.DefaultClient, "http://"+receiver.address).Tell(t.Context(), connect.NewRequest(&peerv1.TellRequest{
+			After: before, Revision: b.Revision, From: sender.address, Records: []*peerv1.PublishedRecord{{Key: "other", Value: []byte("16"), Revision: 16}}}))
+		require.NoError(t, err)
+		require.Eventually(t, func() bool { return config(receiver) == "12" }, 20*time.Second, time.Millisecond)
+	})
+	t.Run("probe", func(t *testing.T) {
+		sender, receiver := newFleet()
+		receiver.peers.ObservePeerVersion(membership.Member{ID: "sender", Address: sender.address}, sender.mirror.RecordRevision(), nil)
+		require.Eventually(t, func() bool { return config(receiver) == "12" }, 20*time.Second, time.Millisecond)
+	})
+}
+
+// Guards against probes that make a VM pull again and again although it has all changes: the newest change was the deletion
+// of a key, which a read of all records does not show.
+func TestProbeOfAPeerWithoutNewsCausesNoPull(t *testing.T) {
+	h := newHistory()
+	follower, loaded := newPeer(t, func() []string { return nil }), newPeer(t, func() []string { return nil })
+	h.write("a", false)
+	follower.mirror.Apply(h.full())
+	h.write("b", false)
+	h.write("b", true)
+	follower.mirror.Apply(h.since(follower.mirror.Revision()))
+	loaded.mirror.Apply(h.full())
+	loaded.peers.ObservePeerVersion(membership.Member{ID: "follower", Address: follower.address}, follower.mirror.RecordRevision(), nil)
+	require.Never(t, func() bool { return loaded.peers.Pulls() > 0 }, time.Second, 10*time.Millisecond)
+}
--- a/feed/mirror.go
+++ b/feed/mirror.go
@@ -63,7 +63,8 @@
 	return &Mirror{records: map[string]Record{}, onChange: onChange}
 }
 
-// Revision returns the highest revision of a batch applied so far, or 0 if there was none.
+// Revision returns the highest revision of a batch applied so far, or 0 if there was none. The mirror holds all changes up
+// to it.
 func (m *Mirror) Revision() uint64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -71,7 +72,8 @@
 }
 
 // RecordRevision returns the highest revision of a record. Unlike Revision, it does not increase while no record
-// changes.
+// changes. It is no proof that the mirror holds all changes up to it: a full copy may have been read by several calls
+// between which records changed.
 func (m *Mirror) RecordRevision() uint64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/feed/peers.go
+++ b/feed/peers.go
@@ -105,15 +105,16 @@
 	return p.mirror.RecordRevision(), binary.BigEndian.AppendUint64(nil, uint64(max(0, time.Since(lastSeen).Milliseconds())))
 }
 
-// ObservePeerVersion implements membership.ConfigGossip. If the peer has a newer record and this VM still lacks it
-// after catchUpDelay, this VM pulls from the peer. A VM with an empty mirror pulls at once.
+// ObservePeerVersion implements membership.ConfigGossip. If the peer has a record that is newer than the revision up to
+// which this VM's mirror is complete, and still is after catchUpDelay, this VM pulls from the peer. A VM with an empty
+// mirror pulls at once.
 func (p *Peers) ObservePeerVersion(m membership.Member, version uint64, age []byte) {
 	if len(age) == 8 {
 		p.recordPeerContact(time.Now().Add(-time.Duration(binary.BigEndian.Uint64(age)) * time.Millisecond))
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if version <= p.mirror.RecordRevision() || p.pulling {
+	if version <= p.mirror.Revision() || p.pulling {
 		return
 	}
 	p.pulling = true
@@ -123,7 +124,7 @@
 	}
 	time.AfterFunc(delay, func() {
 		defer p.pullDone()
-		if version > p.mirror.RecordRevision() {
+		if version > p.mirror.Revision() {
 			p.Pull(context.Background(), m.Address)
 		}
 	})
@@ -204,11 +205,11 @@
 func (s Server) Tell(_ context.Context, req *connect.Request[peerv1.TellRequest]) (*connect.Response[peerv1.TellResponse], error) {
 	p, msg := s.Peers, req.Msg
 	p.recordPeerContact(time.Now())
-	before := p.mirror.RecordRevision()
-	if before < msg.GetAfter() {
+	if p.mirror.Revision() < msg.GetAfter() {
 		go p.Pull(context.Background(), msg.GetFrom())
 		return connect.NewResponse(&peerv1.TellResponse{}), nil
 	}
+	before := p.mirror.RecordRevision()
 	b := Batch{Records: fromWire(msg.GetRecords()), Revision: msg.GetRevision()}
 	if p.mirror.Apply(b) > 0 || len(b.Records) == 0 {
 		p.Push(before, b)
