routing: serve routes to services without settings of their own

Callers of an added route got a 503 if the configuration named its service in the route only and stated no connections or cold rate of it: targets of services that 'services' does not list were held as standby, although the intent, and the comment, was services that no route names yet.

The table now knows which services it names in either place. TestRouteToAServiceWithoutSettings failed with 503 before the change.

--- a/forward/endpoints.go
+++ b/forward/endpoints.go
@@ -111,7 +111,7 @@
 		if snapshot.Table == nil {
 			break
 		}
-		if _, used := snapshot.Table.Services[service]; !used {
+		if !snapshot.Table.Names(service) {
 			next.standby[service] = s.standbyEndpoints(old, targets, next)
 			for _, e := range next.standby[service] {
 				kept[e.Pool] = true
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -398,3 +398,17 @@
 	require.LessOrEqual(t, len(l.Arrivals()), 4*seconds, "a cold target must get no more requests a second than its cold rate of 2 x 1.5 + 1")
 	require.NotEmpty(t, l.Arrivals())
 }
+
+// Guards against an added route that is not served because the configuration states no settings of its service.
+func TestRouteToAServiceWithoutSettings(t *testing.T) {
+	w := newWorld(t, testExtra)
+	w.leaf("s", "a", []byte("single"))
+	w.leaf("p", "a", []byte("0123456789abcdef"))
+	w.snapshot.Table = routing.NewTable(1, []*routing.Route{single("s"), scatter(1, "p")}, nil, routing.Limits{})
+	w.publish()
+	for _, path := range []string{"/s/1", "/q/1"} {
+		resp := w.get(path, "id", time.Second)
+		require.NoError(t, resp.Body.Close())
+		require.Equal(t, http.StatusOK, resp.StatusCode, path)
+	}
+}
--- a/routing/table.go
+++ b/routing/table.go
@@ -92,16 +92,20 @@
 	Services map[ident.ServiceID]Service
 	Limits   Limits
 
-	hosts  map[string]map[string]*Route
-	shards map[ident.ServiceID]bool
-	routes int
+	hosts map[string]map[string]*Route
+	// named holds the services that Services or a route names, shards those that a route searches over.
+	named, shards map[ident.ServiceID]bool
+	routes        int
 }
 
 // NewTable returns a table of the routes and sets their versions. The routes must not change afterwards. Of two routes
 // with the same host and prefix, the later one is used.
 func NewTable(version uint64, routes []*Route, services map[ident.ServiceID]Service, limits Limits) *Table {
 	t := &Table{Version: version, Services: services, Limits: limits, hosts: map[string]map[string]*Route{},
-		shards: map[ident.ServiceID]bool{}, routes: len(routes)}
+		named: map[ident.ServiceID]bool{}, shards: map[ident.ServiceID]bool{}, routes: len(routes)}
+	for id := range services {
+		t.named[id] = true
+	}
 	for _, r := range routes {
 		r.Version = version
 		host := canonicalHost(r.Host)
@@ -109,13 +113,19 @@
 			t.hosts[host] = map[string]*Route{}
 		}
 		t.hosts[host][r.Prefix] = r
+		for _, part := range r.Split {
+			t.named[part.Service] = true
+		}
 		for _, shard := range r.Shards {
-			t.shards[shard] = true
+			t.named[shard], t.shards[shard] = true, true
 		}
 	}
 	return t
 }
 
+// Names reports whether the table states settings of the service or a route to it.
+func (t *Table) Names(service ident.ServiceID) bool { return t.named[service] }
+
 // IsShard reports whether a route searches over the service as one of its shards.
 func (t *Table) IsShard(service ident.ServiceID) bool { return t.shards[service] }
 
