forward: log and count the limits that targets state

Targets name the requests a second that they take from all VMs together. Nothing read that header, so no log could tell a limit that was not known from one that was known and exceeded. No request is sent differently yet.

--- a/forward/endpoints.go
+++ b/forward/endpoints.go
@@ -19,6 +19,8 @@
 	Target  *topology.Target
 	Pool    *leafconn.Pool
 	Tracker *dispatch.Tracker
+	// limit is the limit that the target states with its replies.
+	limit *dispatch.StatedLimit
 	// coldLimiter counts this VM's requests to the target while it is cold.
 	coldLimiter *dispatch.ColdLimiter
 	// coldShare is how many requests a second this VM may send while the target is cold; negative means no limit.
@@ -164,13 +166,13 @@
 	for _, list := range [][]*Endpoint{old.byService[e.Target.Service], old.standby[e.Target.Service]} {
 		for _, prev := range list {
 			if prev.Target.SameProcess(e.Target) {
-				e.Pool, e.Tracker, e.coldLimiter = prev.Pool, prev.Tracker, prev.coldLimiter
+				e.Pool, e.Tracker, e.limit, e.coldLimiter = prev.Pool, prev.Tracker, prev.limit, prev.coldLimiter
 				return
 			}
 		}
 	}
 	tracker := dispatch.NewTracker()
-	e.Tracker, e.coldLimiter = tracker, new(dispatch.ColdLimiter)
+	e.Tracker, e.limit, e.coldLimiter = tracker, new(dispatch.StatedLimit), new(dispatch.ColdLimiter)
 	e.Pool = leafconn.NewPool(e.Target.ID, e.Target.Address, s.Protocol, s.Dialer, limit, &s.Connections, func(took time.Duration, err error) {
 		tracker.Dialed(time.Now(), took, err)
 	})
--- a/forward/job.go
+++ b/forward/job.go
@@ -425,6 +425,7 @@
 		r.Reply.Body = greatest(r.Reply.Body, j.route.TopRecords)
 	}
 	expected := j.estimate.Median
+	j.s.observeLimit(a.endpoint, r.Reply, a.started, r.At)
 	if r.Reply != nil && !a.endpoint.local {
 		j.s.recordRemoteReply(r.At)
 	}
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -267,6 +267,7 @@
 		}
 		send := &leafconn.Send{Request: r.Request}
 		send.Done = func(result leafconn.Result) {
+			s.observeLimit(e, result.Reply, now, result.At)
 			e.Tracker.End(now, result.At, sendResult(&result), expected)
 			results <- relaySend{index: i, status: relayStatus(&result), result: result}
 		}
--- a/forward/service.go
+++ b/forward/service.go
@@ -49,6 +49,9 @@
 	Guard CrashGuard
 	// Report is called with the summary of each finished request; it must not block. It may be nil.
 	Report func(*Summary)
+	// LimitChanged is called when a target states another limit than before, in requests a second of all VMs; 0 if it no
+	// longer states one. It must not block. It may be nil.
+	LimitChanged func(t *topology.Target, perSecond float64)
 	// CloseConnections reports whether callers should reconnect, so that the balancer gives them another VM. While it
 	// reports true, responses close their connections. It may be nil.
 	CloseConnections func() bool
--- a/leafconn/leafconn.go
+++ b/leafconn/leafconn.go
@@ -55,6 +55,8 @@
 	Signature string
 	// ColdLeft is the remaining warm-up time that the target states; 0 if it states none.
 	ColdLeft time.Duration
+	// RateLimit is how many requests a second the target states that it takes from all VMs together; 0 if it states none.
+	RateLimit float64
 }
 
 // OK reports whether the reply is signed and has a 2xx status.
--- a/plugin/forwarding/forwarding.go
+++ b/plugin/forwarding/forwarding.go
@@ -71,9 +71,17 @@
 }
 
 func newService(s *site.Settings, protocol forward.Protocol, dialer leafconn.Dialer, decisions *decisionlog.Log, state *lifecycle.State,
-	guard forward.CrashGuard, coordinators forward.Coordinators, relays forward.Relays, pace *coordinator.Pace, inst *instruments) *forward.Service {
+	guard forward.CrashGuard, coordinators forward.Coordinators, relays forward.Relays, pace *coordinator.Pace, inst *instruments, logger *log.Logger) *forward.Service {
+	logger = logger.With("component", "forwarding")
 	return forward.New(forward.Options{VMID: s.VMID, Zone: s.Zone, Regions: s.Regions, Protocol: protocol, Dialer: dialer,
-		Extra: s.Extra, Cold: s.Cold, Guard: guard, Coordinators: coordinators, Relays: relays, Pace: pace, Report: reporter(decisions, inst), CloseConnections: func() bool { return !state.Ready() }, Refusing: state.Draining})
+		Extra: s.Extra, Cold: s.Cold, Guard: guard, Coordinators: coordinators, Relays: relays, Pace: pace, Report: reporter(decisions, inst), CloseConnections: func() bool { return !state.Ready() }, Refusing: state.Draining,
+		LimitChanged: func(t *topology.Target, perSecond float64) { logLimit(logger, inst, t, perSecond) }})
+}
+
+// logLimit logs and counts a change of the limit that a target states.
+func logLimit(logger *log.Logger, inst *instruments, t *topology.Target, perSecond float64) {
+	inst.limits.Add(context.Background(), 1)
+	logger.Info("target_limit", "target", t.ID, "service", t.Service, "zone_of", t.Zone, "per_second", perSecond)
 }
 
 // startLoops adds hooks that keep the service's targets and the VM's readiness up to date and log the connections.
--- a/plugin/forwarding/metrics.go
+++ b/plugin/forwarding/metrics.go
@@ -20,6 +20,7 @@
 	latency metric.Float64Histogram
 	extras  metric.Int64Counter
 	missing metric.Int64Counter
+	limits  metric.Int64Counter
 }
 
 func newInstruments(meter metric.Meter) (*instruments, error) {
@@ -27,7 +28,8 @@
 		metric.WithExplicitBucketBoundaries(latencyBounds...))
 	extras, errExtras := meter.Int64Counter("request_extra_sends", metric.WithDescription("sends beyond the first of each request and shard, by route"))
 	missing, errMissing := meter.Int64Counter("request_missing_shards", metric.WithDescription("shards that answers of status 200 left out, by route"))
-	return &instruments{latency, extras, missing}, errors.Join(errLatency, errExtras, errMissing)
+	limits, errLimits := meter.Int64Counter("target_limit_changes", metric.WithDescription("times that a target stated another limit than before, or none"))
+	return &instruments{latency, extras, missing, limits}, errors.Join(errLatency, errExtras, errMissing, errLimits)
 }
 
 func (i *instruments) observe(sum *forward.Summary) {
