feed: remaining VMs follow the store before the bound on changes has passed

Callers were served by the older configuration for more than the 3 s in which a change must be in force, if the VMs that follow the store in all zones were lost shortly before it. The remaining VMs first wait until the store has replied to no VM for 2.5 s, and then take over 0.3 s after one another in the ranking, by up to 2.5 s more: without regard to the bound. The class: a chain of time-outs whose sum is not derived from the promise that it serves.

The bound is now read from the settings (apply_ms), and the last VM of a zone follows the store 0.5 s before it at the latest. The first takes over after 2.3 s of silence, half a second more than the interval at which followers report.

TestFollowerRole required that at most two VMs of a zone follow after 2.6 s of silence, which the default bound does not allow: it now requires that with a bound of 6 s, and that all of them follow in time with the default.

--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -242,7 +242,8 @@
 	require.Eventually(t, caughtUp(leaf), 20*time.Second, time.Millisecond)
 }
 
-// Guards against a zone without a VM that follows the source, and against all VMs of a zone following it.
+// Guards against a zone without a VM that follows the source, and against all VMs of a zone following it at once if the bound
+// on changes leaves time.
 func TestFollowerRole(t *testing.T) {
 	now := time.Unix(1000, 0)
 	var members []membership.Member
@@ -259,8 +260,10 @@
 		}
 		var silent feed.FollowerRole
 		require.True(t, silent.ShouldFollow(view, now.Add(-6*time.Second), now), "every VM must follow the source if it has replied to no VM for 6 s")
-		var takeover feed.FollowerRole
-		if takeover.ShouldFollow(view, now.Add(-2600*time.Millisecond), now) {
+		var inTime feed.FollowerRole
+		require.True(t, inTime.ShouldFollow(view, now.Add(-2600*time.Millisecond), now), "every VM must follow the source before the default bound of 3 s has passed")
+		takeover := feed.FollowerRole{ChangeBound: 6 * time.Second}
+		if takeover.ShouldFollow(view, now.Add(-2400*time.Millisecond), now) {
 			afterTakeover++
 		}
 		for _, address := range feed.Children(view) {
@@ -268,7 +271,7 @@
 		}
 	}
 	require.Equal(t, 1, following)
-	require.Equal(t, 2, afterTakeover, "only the next VM of the ranking must follow too if the source has been silent for 2.6 s")
+	require.Equal(t, 2, afterTakeover, "only the next VM of the ranking must follow too if the source has been silent for 2.4 s and the bound is 6 s")
 	require.Len(t, pushed, len(members)-1)
 	for address, count := range pushed {
 		require.Equal(t, 1, count, address)
--- a/feed/fleet_test.go
+++ b/feed/fleet_test.go
@@ -32,6 +32,8 @@
 	running   sync.WaitGroup
 	// alone is the zone that is cut off from the others, but not from the source; nil if there is none.
 	alone atomic.Pointer[ident.Zone]
+	// bound is the time in which a change must have reached every VM.
+	bound time.Duration
 }
 
 // connected reports whether messages from one VM reach the other.
@@ -182,10 +184,11 @@
 	vm.exchange(to, timeout, func(*fleetVM) {}, done)
 }
 
-// newFleet starts the VMs of the zones and lets them find each other.
-func newFleet(random *rand.Rand, zones ...int) *fleet {
+// newFleet starts the VMs of the zones and lets them find each other. bound is the time in which a change must have reached
+// every VM.
+func newFleet(random *rand.Rand, bound time.Duration, zones ...int) *fleet {
 	ctx, stop := context.WithCancel(context.Background())
-	f := &fleet{byAddress: map[string]*fleetVM{}, source: &sharedSource{h: newHistory(), changed: make(chan struct{})}, stop: stop}
+	f := &fleet{byAddress: map[string]*fleetVM{}, source: &sharedSource{h: newHistory(), changed: make(chan struct{})}, stop: stop, bound: bound}
 	f.source.write("config")
 	for z, n := range zones {
 		for i := range n {
@@ -205,6 +208,7 @@
 func (f *fleet) add(id ident.VMID, zone ident.Zone, random *rand.Rand) {
 	vm := &fleetVM{fleet: f, member: membership.Member{ID: id, Zone: zone, Address: string(id) + ":1", State: membership.Alive,
 		Incarnation: ident.Incarnation{Started: time.Now(), Token: string(id)}}, mirror: feed.NewMirror(func(uint64, []feed.Record) {})}
+	vm.role.ChangeBound = f.bound
 	vm.peers = feed.NewPeers(feed.PeersOptions{Mirror: vm.mirror, HTTP: &http.Client{Transport: vm}, Logger: discardLogger(), Self: vm.member.Address,
 		Children: func() []string { return feed.Children(vm.node.View()) }, LastContact: func() time.Time { return vm.follower.LastContact() }})
 	vm.follower = feed.NewFollower(vm, vm.mirror, discardLogger(), func() bool {
@@ -250,6 +254,22 @@
 	return out
 }
 
+// lastRanked returns a VM of a zone that ranks late for following the source, so that it pushes changes to no other.
+func (f *fleet) lastRanked(zone ident.Zone) *fleetVM {
+	var last *fleetVM
+	for _, vm := range f.vms {
+		if vm.member.Zone != zone {
+			continue
+		}
+		if children := feed.Children(vm.node.View()); len(children) > 0 {
+			if child := f.byAddress[children[len(children)-1]]; last == nil || len(feed.Children(child.node.View())) == 0 {
+				last = child
+			}
+		}
+	}
+	return last
+}
+
 // slowest returns the longest time that a VM for which counts returns true takes to get a change of a key, and that VM.
 func (f *fleet) slowest(key string, limit time.Duration, counts func(*fleetVM) bool) (time.Duration, ident.VMID) {
 	written, revision := time.Now(), f.source.write(key)
@@ -277,7 +297,7 @@
 	for seed := range uint64(seeds) {
 		synctest.Test(t, func(t *testing.T) {
 			random := rand.New(rand.NewPCG(seed, 0))
-			f := newFleet(random, 3, 3, 2)
+			f := newFleet(random, applyBound, 3, 3, 2)
 			defer f.close()
 			for range changes {
 				zone := ident.Zone(string(rune('a' + random.IntN(3))))
@@ -309,7 +329,7 @@
 	for seed := range uint64(seeds) {
 		synctest.Test(t, func(t *testing.T) {
 			random := rand.New(rand.NewPCG(seed, 0))
-			f := newFleet(random, 3, 3, 2)
+			f := newFleet(random, applyBound, 3, 3, 2)
 			defer f.close()
 			zone := ident.Zone(string(rune('a' + random.IntN(3))))
 			f.alone.Store(&zone)
@@ -325,3 +345,45 @@
 	}
 	require.Zero(t, late, "of %d changes; the slowest took %v", seeds, worst)
 }
+
+// Guards against VMs that get a change late because the VMs that follow the source in all zones lose power shortly before
+// it, and so do all others but one that ranks late in each zone.
+func TestReplayFollowersOfAllZonesLost(t *testing.T) {
+	for _, c := range []struct {
+		vmsOfZone, seeds int
+		bound            time.Duration
+	}{{4, 100, applyBound}, {19, 6, 5 * time.Second}} {
+		late, worst := 0, time.Duration(0)
+		for seed := range uint64(c.seeds) { //nolint:gosec // a small number
+			synctest.Test(t, func(t *testing.T) {
+				took := changeAfterLoss(t, rand.New(rand.NewPCG(seed, 0)), c.vmsOfZone, c.bound)
+				if worst = max(worst, took); took > c.bound {
+					late++
+				}
+			})
+		}
+		require.Zero(t, late, "of %d changes with %d VMs in each of three zones; the slowest took %v", c.seeds, c.vmsOfZone, worst)
+	}
+}
+
+// changeAfterLoss returns how long a change takes to reach one VM of each zone that ranks late if all others lose power
+// shortly before it.
+func changeAfterLoss(t *testing.T, random *rand.Rand, vmsOfZone int, bound time.Duration) time.Duration {
+	f := newFleet(random, bound, vmsOfZone, vmsOfZone, vmsOfZone)
+	defer f.close()
+	time.Sleep(time.Duration(random.Int64N(int64(2 * time.Second))))
+	survivors := map[*fleetVM]bool{}
+	for _, zone := range []ident.Zone{"a", "b", "c"} {
+		survivors[f.lastRanked(zone)] = true
+	}
+	require.Len(t, survivors, 3)
+	// The loss follows a change, so that the newest contact with the source is as late as can be.
+	f.source.write("target")
+	time.Sleep(8 * hop)
+	for _, vm := range f.vms {
+		vm.down.Store(!survivors[vm])
+	}
+	time.Sleep(time.Duration(random.Int64N(int64(100 * time.Millisecond))))
+	took, _ := f.slowest("config", 2*bound, func(vm *fleetVM) bool { return survivors[vm] })
+	return took
+}
--- a/feed/follow.go
+++ b/feed/follow.go
@@ -36,7 +36,7 @@
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = 800 * time.Millisecond
 	// standbyCheckInterval is how often a VM that does not follow the source checks whether it has to.
-	standbyCheckInterval = 200 * time.Millisecond
+	standbyCheckInterval = 100 * time.Millisecond
 )
 
 // Follower applies the changes of a source to a mirror. To follow the source means to read its changes directly rather
--- a/plugin/topology/topology.go
+++ b/plugin/topology/topology.go
@@ -19,6 +19,7 @@
 	"teaselbank.example/teaselbank/membership/wire"
 	"teaselbank.example/teaselbank/plugin/peerapi"
 	"teaselbank.example/teaselbank/settings"
+	"teaselbank.example/teaselbank/site"
 	"teaselbank.example/teaselbank/topology"
 )
 
@@ -29,7 +30,7 @@
 func init() {
 	kernel.Register(kernel.Plugin{Name: "topology", Options: func() fx.Option {
 		return fx.Options(
-			fx.Provide(topology.NewState, newMirror, newPeers, newFollower, func() *feedLinks { return new(feedLinks) }),
+			fx.Provide(topology.NewState, newMirror, newPeers, newFollower, newLinks),
 			fx.Provide(newContactTracker),
 			fx.Provide(func(c *ContactTracker) membership.ConfigGossip { return c }),
 			fx.Provide(fx.Annotate(newHandler, fx.ResultTags(peerapi.HandlerGroup))),
@@ -96,6 +97,10 @@
 	viewer   atomic.Pointer[viewerBox]
 }
 
+func newLinks(s *site.Settings) *feedLinks {
+	return &feedLinks{role: feed.FollowerRole{ChangeBound: s.ChangeBound}}
+}
+
 type viewerBox struct{ membership.Viewer }
 
 func (l *feedLinks) view() *membership.View {
--- a/site/site.go
+++ b/site/site.go
@@ -34,8 +34,10 @@
 	MaxDescriptors int
 	// StopBound is the time from the stop signal until the process is killed.
 	StopBound time.Duration
-	Extra     ExtraBudget
-	Cold      ColdBound
+	// ChangeBound is the time in which a published change must be in force at every VM; 0 if not stated.
+	ChangeBound time.Duration
+	Extra       ExtraBudget
+	Cold        ColdBound
 }
 
 // ExtraBudget bounds extra sends, which are all sends of a request after its first. Summed over all VMs, a service gets
