dispatch: each VM keeps to its share of the limit that a target states

Nothing read the limit. The class: a bound that a target states for the sum of all VMs, of which each VM sees only its own part.

Each VM counts its own requests against a share of the limit, by the VMs that send to the target: coordinators or the VMs of its zone before others. Rates add up to 1.25 times the limit, because callers are spread unevenly, and what may be saved up to half a second of it and three requests, which leaves room for one request in turn of VMs without a share. First sends, hedges, retries, one-target routes and sends for VMs of other zones all count; a relay says when its share is used up. A request that no target may take is refused before anything is sent, with Retry-After; a shard that none may take is left out. A limit ends after two successful replies without it. Values that are no positive decimal number are ignored.

Ruled out: a limit that is known and exceeded by the sum of the VMs (no VM knew it), and hedges alone (first sends exceeded it).

Evidence: TestRequestsBeyondALimitGoToAnotherTarget, TestSearchBeyondLimits, TestRequestBeyondTheLimitsOfAllTargetsIsRefused, TestNoHedgeBeyondALimit, TestRelayKeepsWithinALimit and TestReplayFleetMeetsLimitedTarget fail with the limiter switched off.

--- a/delegate/message.go
+++ b/delegate/message.go
@@ -82,7 +82,8 @@
 	msg := &peerv1.SendAllResponse{Records: b.Records}
 	for _, r := range b.Results {
 		msg.Results = append(msg.Results, &peerv1.SendResult{Index: uint32(r.Index), Status: sendStatuses[r.Status], //nolint:gosec // an index
-			HttpStatus: uint32(r.HTTPStatus), Signature: r.Signature, TookUs: r.Took.Microseconds()}) //nolint:gosec // an HTTP status
+			HttpStatus: uint32(r.HTTPStatus), Signature: r.Signature, TookUs: r.Took.Microseconds(),
+			RateLimit: r.RateLimit}) //nolint:gosec // an HTTP status
 	}
 	return msg
 }
@@ -93,7 +94,7 @@
 	b := &forward.RelayBatch{Records: msg.GetRecords()}
 	for _, r := range msg.GetResults() {
 		result := forward.RelayResult{Index: int(r.GetIndex()), Status: forward.RelayBroken, HTTPStatus: int(r.GetHttpStatus()), Signature: r.GetSignature(),
-			Took: microseconds(r.GetTookUs())}
+			Took: microseconds(r.GetTookUs()), RateLimit: r.GetRateLimit()}
 		for status, value := range sendStatuses {
 			if value == r.GetStatus() {
 				result.Status = status
--- a/dispatch/stated_limit.go
+++ b/dispatch/stated_limit.go
@@ -15,8 +15,9 @@
 type StatedLimit struct {
 	mu        sync.Mutex
 	perSecond float64
-	statedAt  time.Time
-	without   int
+	// since is when the limit, or another one before it, was first stated; statedAt is when it was stated last.
+	since, statedAt time.Time
+	without         int
 }
 
 // Stated records a reply at the time now that states a limit, and reports whether that differs from the one before.
@@ -24,6 +25,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	changed = l.perSecond != perSecond
+	if l.perSecond == 0 {
+		l.since = now
+	}
 	l.perSecond, l.statedAt, l.without = perSecond, now, 0
 	return changed
 }
@@ -46,7 +50,13 @@
 
 // PerSecond returns the limit; 0 if there is none.
 func (l *StatedLimit) PerSecond() float64 {
+	limit, _ := l.current()
+	return limit
+}
+
+// current returns the limit and since when the target has stated one.
+func (l *StatedLimit) current() (perSecond float64, since time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.perSecond
+	return l.perSecond, l.since
 }
--- a/forward/endpoints.go
+++ b/forward/endpoints.go
@@ -4,6 +4,7 @@
 
 import (
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -20,7 +21,9 @@
 	Pool    *leafconn.Pool
 	Tracker *dispatch.Tracker
 	// limit is the limit that the target states with its replies.
-	limit *dispatch.StatedLimit
+	limit *targetLimit
+	// limitSenders returns which VMs share that limit.
+	limitSenders func() dispatch.LimitSenders
 	// coldLimiter counts this VM's requests to the target while it is cold.
 	coldLimiter *dispatch.ColdLimiter
 	// coldShare is how many requests a second this VM may send while the target is cold; negative means no limit.
@@ -44,6 +47,8 @@
 	InZone map[ident.Zone]int
 	// Peers are the IDs of the usable VMs in this VM's zone, Members those in all zones. Both include this VM.
 	Peers, Members []ident.VMID
+	// MembersIn and CoordinatorsIn are the IDs of the usable VMs and coordinators of each zone, this VM included.
+	MembersIn, CoordinatorsIn map[ident.Zone][]ident.VMID
 	// Coordinators counts the VMs of each zone that run the searches of others; Coordinator reports that this VM is one.
 	// LocalCoordinators are the IDs of the usable ones in this VM's zone, this VM included if it is one.
 	Coordinators      map[ident.Zone]int
@@ -172,7 +177,7 @@
 		}
 	}
 	tracker := dispatch.NewTracker()
-	e.Tracker, e.limit, e.coldLimiter = tracker, new(dispatch.StatedLimit), new(dispatch.ColdLimiter)
+	e.Tracker, e.limit, e.coldLimiter = tracker, new(targetLimit), new(dispatch.ColdLimiter)
 	e.Pool = leafconn.NewPool(e.Target.ID, e.Target.Address, s.Protocol, s.Dialer, limit, &s.Connections, func(took time.Duration, err error) {
 		tracker.Dialed(time.Now(), took, err)
 	})
@@ -190,6 +195,7 @@
 	share := dispatch.ConnectionShare(next.snapshot.Table.Services[t.Service].MaxConnections, size, e.local)
 	s.connect(e, old, share)
 	e.Pool.SetLimit(share)
+	e.limitSenders = sync.OnceValue(func() dispatch.LimitSenders { return s.limitSenders(t, &next.fleet, shard) })
 	e.coldShare = -1
 	if rate := next.snapshot.Table.Services[t.Service].ColdRate; rate > 0 {
 		e.coldShare = dispatch.ColdShare(rate*s.Cold.Factor+s.Cold.Slack, next.fleet.All, rank(s.VMID, next.fleet.Members, t.ID))
--- a/forward/job.go
+++ b/forward/job.go
@@ -218,13 +218,14 @@
 	}
 }
 
-// servable reports whether enough units have a target that may be used, can be reached and is not known to be down.
+// servable reports whether enough units have a target that may be used, can be reached, is not known to be down and takes one
+// more request.
 func (j *job) servable() bool {
 	now, isolated := time.Now(), j.s.isolated.Load()
 	n := 0
 	for i := range j.units {
 		if slices.ContainsFunc(j.set.byService[j.units[i].service], func(e *Endpoint) bool {
-			return j.allowed(e) && (e.local || !isolated) && !e.Tracker.Load(now).Down
+			return j.allowed(e) && (e.local || !isolated) && !e.Tracker.Load(now).Down && e.withinLimit(now, j.viaRelay(e), firstSend)
 		}) {
 			n++
 		}
@@ -288,7 +289,7 @@
 // sendFirst sends a unit for the first time, or collects it for a relay.
 func (j *job) sendFirst(i int, now time.Time) {
 	u := &j.units[i]
-	candidates, at := j.nextTarget(u, j.set.byService[u.service], now)
+	candidates, at := j.nextTarget(u, j.set.byService[u.service], now, firstSend, true)
 	if at < 0 {
 		j.noTargetLeft(u)
 		return
@@ -308,7 +309,7 @@
 func (j *job) send(i int, now time.Time, kind sendKind) bool {
 	u := &j.units[i]
 	for u.sends < maxSendsPerUnit {
-		candidates, at := j.nextTarget(u, j.set.byService[u.service], now)
+		candidates, at := j.nextTarget(u, j.set.byService[u.service], now, kind, false)
 		if at < 0 {
 			break
 		}
@@ -319,13 +320,18 @@
 	return j.noTargetLeft(u)
 }
 
-// submit sends a unit to a target and sets the time of its hedge. It reports whether the target's connections took it.
+// submit sends a unit to a target and sets the time of its hedge. It reports whether the target's limit allows it and its
+// connections took it.
 func (j *job) submit(i int, e *Endpoint, rtt time.Duration, now time.Time, kind sendKind) bool {
 	u := &j.units[i]
+	if !e.limit.Take(now, e.share) {
+		return false
+	}
 	a := j.begin(u, e, now, kind)
 	a.send = &leafconn.Send{Request: j.req, Done: func(r leafconn.Result) { j.sendDone(i, a, r) }}
 	if !e.Pool.Submit(a.send, now) {
 		e.Tracker.End(now, now, dispatch.Abandoned, 0)
+		e.limit.Return()
 		u.inFlight = u.inFlight[:len(u.inFlight)-1]
 		u.removeRun(e)
 		return false
@@ -353,14 +359,27 @@
 
 // nextTarget returns the candidates for a unit's next send and the index of the best one; the index is -1 if there is
 // no usable candidate. It prefers a target that was not tried, then one that refused without running the unit, then one
-// that broke the connection or failed and can take a send without waiting.
-func (j *job) nextTarget(u *unit, list []*Endpoint, now time.Time) ([]dispatch.Candidate, int) {
+// that broke the connection or failed and can take a send without waiting. relayable reports that the send may go through a
+// VM of the target's zone.
+func (j *job) nextTarget(u *unit, list []*Endpoint, now time.Time, kind sendKind, relayable bool) ([]dispatch.Candidate, int) {
+	choose := func(excluded func(*Endpoint) bool) ([]dispatch.Candidate, int) {
+		return j.choose(list, now, func(e *Endpoint) bool {
+			if excluded(e) {
+				return true
+			}
+			if !e.withinLimit(now, relayable && j.viaRelay(e), kind) {
+				j.s.withheld.Add(1)
+				return true
+			}
+			return false
+		})
+	}
 	if j.sendCounts(u).AllowsNewTarget() {
-		candidates, at := j.choose(list, now, func(e *Endpoint) bool { return slices.Contains(u.tried, e) })
+		candidates, at := choose(func(e *Endpoint) bool { return slices.Contains(u.tried, e) })
 		if at < 0 && len(u.refused) > 0 {
 			u.tried = slices.DeleteFunc(u.tried, func(e *Endpoint) bool { return slices.Contains(u.refused, e) })
 			u.refused = nil
-			candidates, at = j.choose(list, now, func(e *Endpoint) bool { return slices.Contains(u.tried, e) })
+			candidates, at = choose(func(e *Endpoint) bool { return slices.Contains(u.tried, e) })
 		}
 		if at >= 0 {
 			return candidates, at
@@ -369,7 +388,7 @@
 	if !j.sendCounts(u).AllowsRepeat() {
 		return nil, -1
 	}
-	return j.choose(list, now, func(e *Endpoint) bool {
+	return choose(func(e *Endpoint) bool {
 		return !slices.Contains(u.ran, e) || e.Pool.Free(now) == 0 || slices.ContainsFunc(u.inFlight, func(a *attempt) bool { return a.endpoint == e })
 	})
 }
@@ -429,6 +448,9 @@
 	if r.Reply != nil && !a.endpoint.local {
 		j.s.recordRemoteReply(r.At)
 	}
+	if r.Reply == nil && !r.Sent() {
+		a.endpoint.limit.Return()
+	}
 	a.endpoint.Tracker.End(a.started, r.At, sendResult(&r), expected)
 	if r.Reply != nil && a.first && r.Reply.OK() {
 		j.estimator.Observe(r.At.Sub(a.started) - a.endpoint.Tracker.Load(r.At).RTT)
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -55,6 +55,9 @@
 	HTTPStatus int
 	Signature  string
 	Took       time.Duration
+	// RateLimit is the limit that the target states, in requests a second of all VMs; 0 if it states none. With RelayNotSent
+	// it says that the relay has no share of that limit left.
+	RateLimit float64
 }
 
 // OK reports whether the records of the reply are part of its batch.
@@ -171,10 +174,16 @@
 	switch r.Status {
 	case RelayNotSent:
 		result.Err = fmt.Errorf("%w: by a VM of the target's zone", leafconn.ErrNotSent)
+		if r.RateLimit > 0 {
+			j.s.learnLimit(g.endpoint, r.RateLimit, at)
+			g.endpoint.limit.setRelayFull(at)
+		}
 	case RelayBroken:
 		result.Err = fmt.Errorf("%w: at a VM of the target's zone", leafconn.ErrBroken)
 	case RelayRan, RelayRefused, RelayMisdirected:
-		result.Reply = &leafconn.Reply{Status: r.HTTPStatus, Signature: r.Signature, Body: body, Disposition: dispositions[r.Status]}
+		result.Reply = &leafconn.Reply{Status: r.HTTPStatus, Signature: r.Signature, Body: body, Disposition: dispositions[r.Status],
+			RateLimit: r.RateLimit}
+		j.s.observeLimit(g.endpoint, result.Reply, a.started, at)
 		j.s.recordRemoteReply(at)
 	}
 	// A batch waits for its slowest result, so the time of the send is the one that the relay took, not the time until now.
@@ -212,6 +221,8 @@
 	index  int
 	status RelayStatus
 	result leafconn.Result
+	// limit is that of the target if it is why nothing was sent.
+	limit float64
 }
 
 // SendAll sends a request to targets for a VM of another zone, once to each, and passes the results to deliver until all
@@ -265,9 +276,16 @@
 			results <- relaySend{index: i, status: RelayNotSent}
 			continue
 		}
+		if !e.limit.Take(now, e.share) {
+			results <- relaySend{index: i, status: RelayNotSent, limit: e.limit.PerSecond()}
+			continue
+		}
 		send := &leafconn.Send{Request: r.Request}
 		send.Done = func(result leafconn.Result) {
 			s.observeLimit(e, result.Reply, now, result.At)
+			if result.Reply == nil && !result.Sent() {
+				e.limit.Return()
+			}
 			e.Tracker.End(now, result.At, sendResult(&result), expected)
 			results <- relaySend{index: i, status: relayStatus(&result), result: result}
 		}
@@ -277,6 +295,7 @@
 		e.Tracker.Begin(now)
 		if !e.Pool.Submit(send, now) {
 			e.Tracker.End(now, now, dispatch.Abandoned, 0)
+			e.limit.Return()
 			results <- relaySend{index: i, status: RelayNotSent}
 			continue
 		}
@@ -315,9 +334,9 @@
 }
 
 func (b *batchBuilder) add(d relaySend) {
-	result := RelayResult{Index: d.index, Status: d.status, Took: max(0, d.result.At.Sub(b.began))}
+	result := RelayResult{Index: d.index, Status: d.status, Took: max(0, d.result.At.Sub(b.began)), RateLimit: d.limit}
 	if reply := d.result.Reply; reply != nil {
-		result.HTTPStatus, result.Signature = reply.Status, reply.Signature
+		result.HTTPStatus, result.Signature, result.RateLimit = reply.Status, reply.Signature, reply.RateLimit
 		if result.OK() {
 			b.top.add(reply.Body)
 		}
--- a/forward/service.go
+++ b/forward/service.go
@@ -80,6 +80,7 @@
 	requests   atomic.Uint64
 	unserved   atomic.Uint64
 	refused    atomic.Uint64
+	withheld   atomic.Uint64
 	isolated   atomic.Bool
 	// remoteReply is when a target of another zone last replied or accepted a probe's connection, in nanoseconds since
 	// start; 0 if never.
@@ -99,6 +100,9 @@
 // Refused returns how many requests were refused because the process was about to end.
 func (s *Service) Refused() uint64 { return s.refused.Load() }
 
+// Withheld returns how often a target was passed over because the limit that it states allows this VM no more requests.
+func (s *Service) Withheld() uint64 { return s.withheld.Load() }
+
 // Counts returns how many requests for targets have ended, and how many of them failed because too few targets served
 // them or the deadline passed.
 func (s *Service) Counts() (requests, unserved uint64) { return s.requests.Load(), s.unserved.Load() }
--- a/forward/world_test.go
+++ b/forward/world_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -31,6 +32,14 @@
 
 	mu        sync.Mutex
 	summaries []forward.Summary
+	// limitChanges are the limits that Options.LimitChanged was called with.
+	limitChanges []float64
+}
+
+func (w *world) limits() []float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.limitChanges)
 }
 
 // testExtra allows enough extra sends that the budget matters only in tests that set their own.
@@ -41,6 +50,11 @@
 		snapshot: &topology.Snapshot{Targets: map[ident.ServiceID][]*topology.Target{}, ZonesOut: map[ident.Zone]bool{}}}
 	w.service = forward.New(forward.Options{VMID: "vm-a", Zone: "a", Protocol: platform.Wire{}, Dialer: &net.Dialer{}, Extra: extra,
 		Cold: site.ColdBound{Factor: 1.5, Slack: 1},
+		LimitChanged: func(_ *topology.Target, perSecond float64) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.limitChanges = append(w.limitChanges, perSecond)
+		},
 		Report: func(s *forward.Summary) {
 			w.mu.Lock()
 			defer w.mu.Unlock()
--- a/plugin/forwarding/forwarding.go
+++ b/plugin/forwarding/forwarding.go
@@ -149,13 +149,19 @@
 // fleetView returns the usable VMs of the view, and upper bounds of the number of VMs that share the targets.
 func fleetView(view *membership.View, zone ident.Zone, now, start time.Time) forward.FleetView {
 	roles := plugincoordinator.Roles(view, now)
-	fleet := forward.FleetView{InZone: map[ident.Zone]int{}, Coordinators: roles.Coordinators, Coordinator: roles.Self}
+	fleet := forward.FleetView{InZone: map[ident.Zone]int{}, MembersIn: map[ident.Zone][]ident.VMID{}, CoordinatorsIn: map[ident.Zone][]ident.VMID{}, Coordinators: roles.Coordinators, Coordinator: roles.Self}
 	if roles.Self {
 		fleet.LocalCoordinators = append(fleet.LocalCoordinators, view.Self.ID)
 	}
 	for _, m := range roles.Local {
 		fleet.LocalCoordinators = append(fleet.LocalCoordinators, m.ID)
 	}
+	fleet.CoordinatorsIn[zone] = fleet.LocalCoordinators
+	for z, remote := range roles.Remote {
+		for _, m := range remote {
+			fleet.CoordinatorsIn[z] = append(fleet.CoordinatorsIn[z], m.ID)
+		}
+	}
 	for _, m := range view.Members {
 		if !m.Usable() && now.Sub(m.Since) > plugincoordinator.LostVMRetention {
 			continue
@@ -164,6 +170,7 @@
 		fleet.InZone[m.Zone]++
 		if m.Usable() {
 			fleet.Members = append(fleet.Members, m.ID)
+			fleet.MembersIn[m.Zone] = append(fleet.MembersIn[m.Zone], m.ID)
 		}
 		if m.Zone == zone && m.Usable() {
 			fleet.Peers = append(fleet.Peers, m.ID)
--- a/plugin/forwarding/metrics.go
+++ b/plugin/forwarding/metrics.go
@@ -46,7 +46,9 @@
 
 func registerConnections(service *forward.Service, meter metric.Meter) error {
 	counters := []observe.Instrument{{Name: "target_connections_opened", Description: "connections opened to targets",
-		Read: observe.Uint64(service.Connections.Opened)}}
+		Read: observe.Uint64(service.Connections.Opened)},
+		{Name: "sends_withheld_by_limit", Description: "times that a target was passed over because its limit allows this VM no more requests",
+			Read: observe.Uint64(service.Withheld)}}
 	for _, reason := range leafconn.CloseReasons() {
 		counters = append(counters, observe.Instrument{Name: "target_connections_closed_" + reason.String(), Description: "connections to targets that ended: " + reason.String(),
 			Read: observe.Uint64(func() uint64 { return service.Connections.Closed(reason) })})
