forward: a relay's limit is checked, and does not renew what a VM knows better

A VM of another zone is a program of the same fleet, but of another version perhaps: a limit that is not finite or not positive is ignored. A relay without a share that has not heard yet that a limit ended kept it in force at the VMs that had heard: what a relay states without sending now only begins a limit. TestRelayedLimitThatIsNoRate failed with infinity before.

--- a/delegate/delegate_test.go
+++ b/delegate/delegate_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"io"
 	"net"
 	"net/http"
@@ -262,7 +263,7 @@
 		{Results: []forward.RelayResult{{Index: 1, Status: forward.RelayRan, HTTPStatus: 200, Signature: "s", Took: time.Millisecond},
 			{Index: 0, Status: forward.RelayRefused, HTTPStatus: 503}}, Records: []byte("records")},
 		{Results: []forward.RelayResult{{Index: 2, Status: forward.RelayMisdirected, HTTPStatus: 421}, {Index: 3, Status: forward.RelayNotSent},
-			{Index: 4, Status: forward.RelayBroken}}},
+			{Index: 4, Status: forward.RelayBroken}, {Index: 5, Status: forward.RelayNotSent, RateLimit: 31.3}}},
 	}
 	var got *forward.Relay
 	r := &runner{sendAll: func(_ context.Context, relay *forward.Relay, deliver func(*forward.RelayBatch) error) error {
@@ -300,3 +301,23 @@
 	require.Error(t, err)
 	require.NotErrorIs(t, err, leafconn.ErrNotSent)
 }
+
+// Guards against a limit that no target can have stated, from a relay, and that stops all requests or allows any number.
+func TestRelayedLimitThatIsNoRate(t *testing.T) {
+	limits := []float64{math.NaN(), math.Inf(1), math.Inf(-1), -1, 0}
+	r := &runner{sendAll: func(_ context.Context, _ *forward.Relay, deliver func(*forward.RelayBatch) error) error {
+		b := &forward.RelayBatch{}
+		for i, limit := range limits {
+			b.Results = append(b.Results, forward.RelayResult{Index: i, Status: forward.RelayNotSent, RateLimit: limit})
+		}
+		return deliver(b)
+	}}
+	c := newClient(startServer(t, &delegate.Server{Runner: r, Pace: coordinator.NewPace(800), Ready: ready, OtherZoneContact: never}), new(failures))
+	relay := &forward.Relay{Request: newSearch().Request, Sends: []forward.RelaySend{{Service: "s0", Target: "i-1"}}}
+	require.NoError(t, c.SendAll(context.Background(), "b", relay, func(b *forward.RelayBatch) {
+		require.Len(t, b.Results, len(limits))
+		for _, result := range b.Results {
+			require.Zero(t, result.RateLimit)
+		}
+	}))
+}
--- a/delegate/message.go
+++ b/delegate/message.go
@@ -1,6 +1,7 @@
 package delegate
 
 import (
+	"math"
 	"net/http"
 	"time"
 
@@ -94,7 +95,10 @@
 	b := &forward.RelayBatch{Records: msg.GetRecords()}
 	for _, r := range msg.GetResults() {
 		result := forward.RelayResult{Index: int(r.GetIndex()), Status: forward.RelayBroken, HTTPStatus: int(r.GetHttpStatus()), Signature: r.GetSignature(),
-			Took: microseconds(r.GetTookUs()), RateLimit: r.GetRateLimit()}
+			Took: microseconds(r.GetTookUs())}
+		if limit := r.GetRateLimit(); limit > 0 && !math.IsInf(limit, 0) {
+			result.RateLimit = limit
+		}
 		for status, value := range sendStatuses {
 			if value == r.GetStatus() {
 				result.Status = status
--- a/forward/limits.go
+++ b/forward/limits.go
@@ -59,7 +59,16 @@
 	}
 }
 
-// learnLimit records a limit that a target stated to this VM or to another one.
+// relayIsFull records that a relay did not send because it has no share left of the limit that the target stated to it. What
+// it knows may be older than what this VM knows, so it does not renew a limit.
+func (s *Service) relayIsFull(e *Endpoint, perSecond float64, now time.Time) {
+	e.limit.setRelayFull(now)
+	if e.limit.PerSecond() == 0 {
+		s.learnLimit(e, perSecond, now)
+	}
+}
+
+// learnLimit records a limit that a target stated.
 func (s *Service) learnLimit(e *Endpoint, perSecond float64, now time.Time) {
 	if e.limit.Stated(now, perSecond) {
 		s.limitChanged(e)
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -175,8 +175,7 @@
 	case RelayNotSent:
 		result.Err = fmt.Errorf("%w: by a VM of the target's zone", leafconn.ErrNotSent)
 		if r.RateLimit > 0 {
-			j.s.learnLimit(g.endpoint, r.RateLimit, at)
-			g.endpoint.limit.setRelayFull(at)
+			j.s.relayIsFull(g.endpoint, r.RateLimit, at)
 		}
 	case RelayBroken:
 		result.Err = fmt.Errorf("%w: at a VM of the target's zone", leafconn.ErrBroken)
