forward: a relay says at once what it did not send

Searches of other zones lost up to the hedge delay if the relay had no share of a target's limit left: its results are gathered until then, also those that say that nothing was sent, and the entry VM can send these shards elsewhere at once.

A result that nothing was sent is now passed on as soon as no other result waits. TestRelayWithoutAShareSaysSoAtOnce failed with 504 after 5 s before.

--- a/delegate/delegate_test.go
+++ b/delegate/delegate_test.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"errors"
-	"math"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptest"
--- a/forward/limits_test.go
+++ b/forward/limits_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"teaselbank.example/teaselbank/forward"
+	"teaselbank.example/teaselbank/ident"
 	"teaselbank.example/teaselbank/leafconn"
 	"teaselbank.example/teaselbank/platform/platformtest"
 )
@@ -140,3 +141,43 @@
 	require.Equal(t, forward.RelayNotSent, results[2].Status)
 	require.Len(t, limited.Arrivals(), 1)
 }
+
+// Guards against a relayed send that waits for the hedge delay although its relay has no share of the target's limit left.
+func TestRelayWithoutAShareSaysSoAtOnce(t *testing.T) {
+	w := newWorld(t, testExtra)
+	names, leafs := shards(w, 5, "b", "c")
+	r := scatter(1, names...)
+	r.Objective, r.Timeout = time.Minute, time.Minute
+	w.routes(r)
+	leafs[names[0]][0].SetBehaviour(states("0.01"))
+	// Another target replies only after the shard beyond the limit was sent elsewhere.
+	resent := make(chan struct{}, 3)
+	leafs[names[0]][1].SetBehaviour(func(platformtest.Arrival) platformtest.Behaviour {
+		resent <- struct{}{}
+		return platformtest.Behaviour{}
+	})
+	leafs[names[1]][0].SetBehaviour(func(a platformtest.Arrival) platformtest.Behaviour {
+		if a.ID != "0" {
+			select {
+			case <-resent:
+			case <-t.Context().Done():
+			}
+		}
+		return platformtest.Behaviour{}
+	})
+	// A leaving target gets sends only if the other one takes none.
+	for _, name := range names {
+		w.snapshot.Targets[ident.ServiceID(name)][1].LeavingSince = time.Now()
+	}
+	w.publish()
+	relay := w.secondVM("b")
+	w.service.Relays = &relays{zone: "b", to: relay}
+	for i := range 3 {
+		resp := w.get("/q/1", fmt.Sprint(i), 5*time.Second)
+		require.NoError(t, resp.Body.Close())
+		require.Equal(t, http.StatusOK, resp.StatusCode, "search %d", i)
+		require.Equal(t, "0", resp.Header.Get(platformtest.HeaderMissingShards))
+	}
+	require.Len(t, leafs[names[0]][0].Arrivals(), 1)
+	require.Len(t, leafs[names[0]][1].Arrivals(), 2)
+}
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -247,6 +247,12 @@
 			if batch.add(d); flushed && len(batch.results) == 1 {
 				timer.Reset(flushInterval)
 			}
+			if d.status == RelayNotSent && len(results) == 0 {
+				// The caller has to send these elsewhere.
+				if err := batch.flush(deliver); err != nil {
+					return err
+				}
+			}
 		case <-timer.C:
 			flushed = true
 			if err := batch.flush(deliver); err != nil {
