forward: an unsent result is passed on also if other results arrived with it

Searches still waited for the hedge delay if the first results that a relay read were one that says nothing was sent and others that had arrived with it: passed a batch on only if the last result read was the unsent one.

--- a/forward/relay.go
+++ b/forward/relay.go
@@ -238,7 +238,7 @@
 	}()
 	timer := time.NewTimer(r.FlushAfter)
 	defer timer.Stop()
-	flushed := false
+	flushed, unsent := false, false
 	batch := newBatchBuilder(r.TopRecords, now)
 	for left := len(r.Sends); left > 0; {
 		select {
@@ -247,8 +247,10 @@
 			if batch.add(d); flushed && len(batch.results) == 1 {
 				timer.Reset(flushInterval)
 			}
-			if d.status == RelayNotSent && len(results) == 0 {
-				// The caller has to send these elsewhere.
+			unsent = unsent || d.status == RelayNotSent
+			if unsent && len(results) == 0 {
+				// The VM that asked for the sends has to send some elsewhere.
+				unsent = false
 				if err := batch.flush(deliver); err != nil {
 					return err
 				}
