leafconn: a connection carries the same request only once

Cause: a reply is matched to a send by the request ID. After all targets had refused a request, it went to one of them again, on the connection used last, which was the one that had carried the refusal. A late copy of that refusal then named the request in flight and counted as the reply to the second send.

Change: a request remembers the connections that it was assigned to. A resend takes another one; if the limit leaves no room, an idle one that has carried it is closed for it, and if none can be opened it fails at once as not sent. No copy can then name the request in flight on its connection, whenever it comes.

Related paths: hedges go to other targets, relays use connections of their own, deployments with bundles give each send an ID of its own, and calls between VMs use numbered streams.

--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -1,11 +1,13 @@
 package forward_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -107,6 +109,37 @@
 	require.Len(t, free.Arrivals(), 1)
 }
 
+// Guards against a request that is refused, or sent to another target, while a target runs it: all targets had refused it,
+// the one that got it again ran it, and sent its earlier refusal a second time.
+func TestLateCopyOfARefusalDoesNotRefuseARunningRequest(t *testing.T) {
+	w := newWorld(t, testExtra)
+	var runs atomic.Int64
+	for range 2 {
+		var refused atomic.Bool
+		w.leaf("svc", "a", []byte("ok")).SetBehaviour(func(platformtest.Arrival) platformtest.Behaviour {
+			if refused.Swap(true) {
+				runs.Add(1)
+				return platformtest.Behaviour{}
+			}
+			return platformtest.Behaviour{Raw: func(c net.Conn, a platformtest.Arrival) {
+				_, _ = io.WriteString(c, platformtest.RawRefusal(a.ID))
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					runs.Add(1)
+					_, _ = io.WriteString(c, platformtest.RawRefusal(a.ID))
+					_, _ = io.WriteString(c, platformtest.RawSuccess(a.ID)+"Content-Length: 2\r\n\r\nok")
+				}
+			}}
+		})
+	}
+	r := single("svc")
+	r.Idempotent = false
+	w.routes(r)
+	resp := w.get("/svc/x", "r1", 2*time.Second)
+	require.Equal(t, "ok", string(body(t, resp)))
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.EqualValues(t, 1, runs.Load())
+}
+
 // Guards against a response without Retry-After, or with another status than 503, to a request that every target
 // refused and that therefore did not run.
 func TestRefusedByAllSetsRetryAfter(t *testing.T) {
--- a/leafconn/conn.go
+++ b/leafconn/conn.go
@@ -84,6 +84,12 @@
 	return n, err
 }
 
+// carry makes s the send in flight; pool.mu must be held.
+func (c *conn) carry(s *Send) {
+	c.current, s.conn = s, c
+	s.Request.assignTo(c)
+}
+
 // write writes the request of a send. On a write error it closes the connection, so that the reading goroutine sees a
 // broken connection and reports the failure.
 func (c *conn) write(s *Send) {
--- a/leafconn/leafconn.go
+++ b/leafconn/leafconn.go
@@ -1,18 +1,22 @@
 // Package leafconn sends HTTP/1.1 requests to targets over pooled connections. A connection carries one request at a
-// time and is not reused after an error or an unexpected reply. The package never retries a request: whether to send it
-// again is up to its caller.
+// time and is not reused after an error or an unexpected reply. It carries the same request only once: a target in
+// trouble may send a reply a second time, and the request ID in it cannot tell it from the reply to a later send. The
+// package never retries a request: whether to send it again is up to its caller.
 package leafconn
 
 import (
 	"errors"
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"teaselbank.example/teaselbank/ident"
 )
 
-// Request is a caller's request as it is forwarded to targets. It must not be modified while a send is in flight.
+// Request is a caller's request as it is forwarded to targets. Its exported fields must not be modified while a send is
+// in flight.
 type Request struct {
 	ID     string
 	Method string
@@ -24,6 +28,24 @@
 	Body   []byte
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
+
+	carriersMu sync.Mutex
+	// carriers are the connections to which the request was assigned.
+	carriers []*conn
+}
+
+// assignTo records that a connection carries the request.
+func (r *Request) assignTo(c *conn) {
+	r.carriersMu.Lock()
+	defer r.carriersMu.Unlock()
+	r.carriers = append(r.carriers, c)
+}
+
+// carriedBy reports whether a connection carries the request or has carried it.
+func (r *Request) carriedBy(c *conn) bool {
+	r.carriersMu.Lock()
+	defer r.carriersMu.Unlock()
+	return slices.Contains(r.carriers, c)
 }
 
 // Path returns the request target without the query.
--- a/leafconn/pool.go
+++ b/leafconn/pool.go
@@ -97,29 +97,31 @@
 		p.mu.Unlock()
 		return false
 	}
-	c := p.takeIdle(now)
+	c := p.takeIdle(s.Request, now)
 	if c == nil {
 		p.waiting = append(p.waiting, s)
 		p.dialIfNeeded()
 		p.mu.Unlock()
 		return true
 	}
-	c.current, s.conn = s, c
+	c.carry(s)
 	p.mu.Unlock()
 	c.write(s)
 	return true
 }
 
-// takeIdle removes and returns the idle connection that was used last, and closes expired connections that it finds on
-// the way. It returns nil if no connection is left; p.mu must be held.
-func (p *Pool) takeIdle(now time.Time) *conn {
-	for len(p.idle) > 0 {
-		c := p.idle[len(p.idle)-1]
-		p.idle = p.idle[:len(p.idle)-1]
-		if now.Sub(c.idleSince) < c.idleLimit {
+// takeIdle removes and returns the idle connection that was used last and has not carried the request, and closes expired
+// connections that it finds on the way. It returns nil if there is none; p.mu must be held.
+func (p *Pool) takeIdle(r *Request, now time.Time) *conn {
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		c := p.idle[i]
+		switch {
+		case now.Sub(c.idleSince) >= c.idleLimit:
+			p.drop(c, ClosedIdle)
+		case !r.carriedBy(c):
+			p.idle = slices.Delete(p.idle, i, i+1)
 			return c
 		}
-		p.drop(c, ClosedIdle)
 	}
 	return nil
 }
@@ -135,11 +137,18 @@
 }
 
 // dialIfNeeded opens a connection if more sends wait than connections are being opened and the limit allows it; p.mu
-// must be held.
+// must be held. A connection that is idle although sends wait has carried their requests, and is closed if the limit
+// leaves no room for a further one.
 func (p *Pool) dialIfNeeded() {
-	if p.closed || p.dialing >= len(p.waiting) || len(p.all)+p.dialing >= p.limit {
+	if p.closed || p.dialing >= len(p.waiting) {
 		return
 	}
+	for len(p.all)+p.dialing >= p.limit {
+		if len(p.idle) == 0 {
+			return
+		}
+		p.drop(p.idle[0], ClosedForResend)
+	}
 	p.dialing++
 	go func() { _ = p.dial() }() // dial reports failures to onDial and to the waiting sends
 }
@@ -194,7 +203,7 @@
 	p.mu.Lock()
 	p.dialing--
 	if err != nil {
-		failed := p.takeWaitingIfNoConns()
+		failed := p.takeWaitingIfStuck()
 		p.mu.Unlock()
 		for _, s := range failed {
 			s.deliver(Result{Send: s, Err: fmt.Errorf("%w: %w", ErrNotSent, err), At: time.Now()})
@@ -219,10 +228,10 @@
 	return nil
 }
 
-// takeWaitingIfNoConns empties and returns the queue if no connection is open or being opened to serve it; p.mu must be
-// held.
-func (p *Pool) takeWaitingIfNoConns() []*Send {
-	if len(p.all)+p.dialing > 0 {
+// takeWaitingIfStuck empties and returns the queue if no connection is in use or being opened, so that none will become
+// free to serve it; p.mu must be held.
+func (p *Pool) takeWaitingIfStuck() []*Send {
+	if len(p.all)-len(p.idle)+p.dialing > 0 {
 		return nil
 	}
 	failed := p.waiting
@@ -233,22 +242,24 @@
 	return failed
 }
 
-// assign gives a free connection to the first waiting send and returns that send. If none waits, it returns nil and
-// makes the connection idle, or closes it if the pool is closed or above its limit; p.mu must be held.
+// assign gives a free connection to the first waiting send whose request it has not carried, and returns that send. If
+// there is none, it returns nil and makes the connection idle, or closes it if the pool is closed or above its limit; p.mu
+// must be held.
 func (p *Pool) assign(c *conn) *Send {
 	c.current = nil
-	if len(p.waiting) > 0 {
-		s := p.waiting[0]
-		p.waiting = p.waiting[1:]
-		c.current, s.conn = s, c
+	if i := slices.IndexFunc(p.waiting, func(s *Send) bool { return !s.Request.carriedBy(c) }); i >= 0 {
+		s := p.waiting[i]
+		p.waiting = slices.Delete(p.waiting, i, i+1)
+		c.carry(s)
 		return s
 	}
 	if p.closed || len(p.all) > p.limit {
 		p.drop(c, ClosedSpare)
-		return nil
+	} else {
+		c.idleSince = time.Now()
+		p.idle = append(p.idle, c)
 	}
-	c.idleSince = time.Now()
-	p.idle = append(p.idle, c)
+	p.dialIfNeeded()
 	return nil
 }
 
--- a/leafconn/stats.go
+++ b/leafconn/stats.go
@@ -19,12 +19,15 @@
 	ClosedBroken
 	// ClosedAfterReply means that the connection was not reusable after a reply.
 	ClosedAfterReply
+	// ClosedForResend means that the connection had carried the requests of all waiting sends, which need a connection
+	// that has not, and that the limit left no room for one.
+	ClosedForResend
 	numCloseReasons
 )
 
 // String returns the name of the reason as used in metrics and logs.
 func (c CloseReason) String() string {
-	return [...]string{"idle", "spare", "by_target", "broken", "after_reply"}[c]
+	return [...]string{"idle", "spare", "by_target", "broken", "after_reply", "for_resend"}[c]
 }
 
 // CloseReasons returns all reasons.
