feed: changes of a restarted follower follow on from the revision that it read

Cause: the copy that a restarted follower reads does not list deleted keys, so the highest revision of its records is below that of the removal. It stated that revision in pushes, as the one that its changes follow on from, and in probes, as the newest that it knows. VMs that had not seen the removal had reached that revision, took the changes and went past it.

Change: a mirror states the revision up to which deletions may be missing if it is higher than that of its newest record (RequiredRevision, before RecordRevision). A VM below it pulls a full copy, which shows what is gone. Pushes, pushes passed on, pulls and probes use the same figure, so no path is left that skips a deletion.

--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -219,13 +219,13 @@
 	middle := newPeer(t, func() []string { return []string{leaf.address} })
 	root := newPeer(t, func() []string { return []string{middle.address} })
 	push := func() {
-		before, after := root.mirror.RecordRevision(), root.mirror.Revision()
+		before, after := root.mirror.RequiredRevision(), root.mirror.Revision()
 		b := h.since(max(1, after))
 		root.mirror.Apply(b)
 		root.peers.Push(before, b)
 	}
 	caughtUp := func(p *peer) func() bool {
-		return func() bool { return p.mirror.RecordRevision() == root.mirror.RecordRevision() }
+		return func() bool { return p.mirror.RequiredRevision() == root.mirror.RequiredRevision() }
 	}
 	h.write("a", false)
 	push()
@@ -238,7 +238,7 @@
 	require.Equal(t, h.keys(), keysOf(leaf.mirror.Changes(0)))
 	h.write("d", false)
 	root.mirror.Apply(h.since(root.mirror.Revision()))
-	leaf.peers.ObservePeerVersion(membership.Member{ID: "root", Address: root.address}, root.mirror.RecordRevision(), nil)
+	leaf.peers.ObservePeerVersion(membership.Member{ID: "root", Address: root.address}, root.mirror.RequiredRevision(), nil)
 	require.Eventually(t, caughtUp(leaf), 20*time.Second, time.Millisecond)
 }
 
@@ -296,7 +296,7 @@
 	}
 	t.Run("push", func(t *testing.T) {
 		sender, receiver := newFleet()
-		before := sender.mirror.RecordRevision()
+		before := sender.mirror.RequiredRevision()
 		b := feed.Batch{Revision: 16, Records: []feed.Record{{Key: "other", Value: []byte("16"), Revision: 16}}}
 		sender.mirror.Apply(b)
 		_, err := peerv1connect.NewFeedServiceClient(http.DefaultClient, "http://"+receiver.address).Tell(t.Context(), connect.NewRequest(&peerv1.TellRequest{
@@ -306,7 +306,7 @@
 	})
 	t.Run("probe", func(t *testing.T) {
 		sender, receiver := newFleet()
-		receiver.peers.ObservePeerVersion(membership.Member{ID: "sender", Address: sender.address}, sender.mirror.RecordRevision(), nil)
+		receiver.peers.ObservePeerVersion(membership.Member{ID: "sender", Address: sender.address}, sender.mirror.RequiredRevision(), nil)
 		require.Eventually(t, func() bool { return config(receiver) == "12" }, 20*time.Second, time.Millisecond)
 	})
 }
@@ -322,6 +322,6 @@
 	h.write("b", true)
 	follower.mirror.Apply(h.since(follower.mirror.Revision()))
 	loaded.mirror.Apply(h.full())
-	loaded.peers.ObservePeerVersion(membership.Member{ID: "follower", Address: follower.address}, follower.mirror.RecordRevision(), nil)
+	loaded.peers.ObservePeerVersion(membership.Member{ID: "follower", Address: follower.address}, follower.mirror.RequiredRevision(), nil)
 	require.Never(t, func() bool { return loaded.peers.Pulls() > 0 }, time.Second, 10*time.Millisecond)
 }
--- a/feed/fleet_test.go
+++ b/feed/fleet_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -25,9 +26,11 @@
 // fleet is a set of VMs with failure detectors, mirrors and followers on an in-memory network. It must run in a synctest
 // bubble, whose clock all of them use.
 type fleet struct {
-	vms       []*fleetVM
-	byAddress map[string]*fleetVM
+	vms []*fleetVM
+	// byAddress holds the VM that has an address now; a restarted VM replaces its predecessor.
+	byAddress map[string]*atomic.Pointer[fleetVM]
 	source    *sharedSource
+	ctx       context.Context
 	stop      context.CancelFunc
 	running   sync.WaitGroup
 	// alone is the zone that is cut off from the others, but not from the source; nil if there is none.
@@ -36,6 +39,14 @@
 	bound time.Duration
 }
 
+// at returns the VM that has an address now; nil if none has it.
+func (f *fleet) at(address string) *fleetVM {
+	if vm := f.byAddress[address]; vm != nil {
+		return vm.Load()
+	}
+	return nil
+}
+
 // connected reports whether messages from one VM reach the other.
 func (f *fleet) connected(from, to *fleetVM) bool {
 	if to == nil || from.down.Load() || to.down.Load() {
@@ -61,6 +72,9 @@
 	role         feed.FollowerRole
 	handler      http.Handler
 	down, cutOff atomic.Bool
+	// ctx is that of the VM's loops; kill ends it.
+	ctx  context.Context
+	kill context.CancelFunc
 }
 
 // sharedSource is the source of a fleet.
@@ -70,10 +84,13 @@
 	changed chan struct{}
 }
 
-func (s *sharedSource) write(key string) uint64 {
+func (s *sharedSource) write(key string) uint64 { return s.change(key, false) }
+
+// change writes or deletes a key and returns the revision.
+func (s *sharedSource) change(key string, deleted bool) uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.h.write(key, false)
+	s.h.write(key, deleted)
 	close(s.changed)
 	s.changed = make(chan struct{})
 	return s.h.rev
@@ -131,7 +148,7 @@
 
 // RoundTrip carries the calls of this VM's Peers.
 func (vm *fleetVM) RoundTrip(r *http.Request) (*http.Response, error) {
-	to := vm.fleet.byAddress[r.URL.Host]
+	to := vm.fleet.at(r.URL.Host)
 	time.Sleep(hop)
 	if !vm.fleet.connected(vm, to) {
 		<-r.Context().Done()
@@ -147,7 +164,7 @@
 func (vm *fleetVM) exchange(to membership.Member, timeout time.Duration, f func(*fleetVM), done func(error)) {
 	go func() {
 		time.Sleep(hop)
-		peer := vm.fleet.byAddress[to.Address]
+		peer := vm.fleet.at(to.Address)
 		if !vm.fleet.connected(vm, peer) {
 			time.Sleep(timeout - hop)
 			done(errOutOfReach)
@@ -188,27 +205,48 @@
 // every VM.
 func newFleet(random *rand.Rand, bound time.Duration, zones ...int) *fleet {
 	ctx, stop := context.WithCancel(context.Background())
-	f := &fleet{byAddress: map[string]*fleetVM{}, source: &sharedSource{h: newHistory(), changed: make(chan struct{})}, stop: stop, bound: bound}
+	f := &fleet{byAddress: map[string]*atomic.Pointer[fleetVM]{}, source: &sharedSource{h: newHistory(), changed: make(chan struct{})}, ctx: ctx, stop: stop, bound: bound}
 	f.source.write("config")
 	for z, n := range zones {
 		for i := range n {
-			f.add(ident.VMID(fmt.Sprintf("%c-%d", 'a'+z, i)), ident.Zone(string(rune('a'+z))), random)
+			vm := f.newVM(ident.VMID(fmt.Sprintf("%c-%d", 'a'+z, i)), ident.Zone(string(rune('a'+z))), random)
+			f.vms, f.byAddress[vm.member.Address] = append(f.vms, vm), new(atomic.Pointer[fleetVM])
+			f.byAddress[vm.member.Address].Store(vm)
 		}
 	}
 	for _, vm := range f.vms {
-		for _, other := range f.vms {
-			vm.node.Join(other.member.Address)
-		}
-		startAfter := time.Duration(random.Int64N(int64(time.Second)))
-		f.running.Go(func() { vm.run(ctx, startAfter) })
+		f.start(vm, time.Duration(random.Int64N(int64(time.Second))))
 	}
 	time.Sleep(5 * time.Second)
 	return f
 }
 
-func (f *fleet) add(id ident.VMID, zone ident.Zone, random *rand.Rand) {
+// start has a VM join the others and runs it.
+func (f *fleet) start(vm *fleetVM, startAfter time.Duration) {
+	for _, other := range f.vms {
+		vm.node.Join(other.member.Address)
+	}
+	f.running.Go(func() { vm.run(vm.ctx, startAfter) })
+}
+
+// killVM ends a VM without notice.
+func (f *fleet) killVM(vm *fleetVM) {
+	vm.down.Store(true)
+	vm.kill()
+}
+
+// restart starts a VM that was killed again, with a new incarnation and nothing of what it knew.
+func (f *fleet) restart(old *fleetVM, random *rand.Rand) {
+	vm := f.newVM(old.member.ID, old.member.Zone, random)
+	f.vms[slices.Index(f.vms, old)] = vm
+	f.byAddress[vm.member.Address].Store(vm)
+	f.start(vm, 0)
+}
+
+func (f *fleet) newVM(id ident.VMID, zone ident.Zone, random *rand.Rand) *fleetVM {
 	vm := &fleetVM{fleet: f, member: membership.Member{ID: id, Zone: zone, Address: string(id) + ":1", State: membership.Alive,
 		Incarnation: ident.Incarnation{Started: time.Now(), Token: string(id)}}, mirror: feed.NewMirror(func(uint64, []feed.Record) {})}
+	vm.ctx, vm.kill = context.WithCancel(f.ctx)
 	vm.role.ChangeBound = f.bound
 	vm.peers = feed.NewPeers(feed.PeersOptions{Mirror: vm.mirror, HTTP: &http.Client{Transport: vm}, Logger: discardLogger(), Self: vm.member.Address,
 		Children: func() []string { return feed.Children(vm.node.View()) }, LastContact: func() time.Time { return vm.follower.LastContact() }})
@@ -220,13 +258,14 @@
 	vm.handler = mux
 	vm.node = membership.NewNode(membership.Options{Self: vm.member, Clock: clockwork.NewRealClock(), Rand: rand.New(rand.NewPCG(random.Uint64(), 1)),
 		Transport: vm, Config: vm.peers})
-	f.vms, f.byAddress[vm.member.Address] = append(f.vms, vm), vm
+	return vm
 }
 
 // run ticks the failure detector and follows the source until the context ends.
 func (vm *fleetVM) run(ctx context.Context, startAfter time.Duration) {
 	var following sync.WaitGroup
 	following.Go(func() { vm.follower.Run(ctx) })
+	following.Go(func() { vm.peers.Bootstrap(ctx, vm.randomPeer) })
 	for wait := startAfter; ctx.Err() == nil; {
 		select {
 		case <-time.After(max(wait, time.Millisecond)):
@@ -237,6 +276,17 @@
 	following.Wait()
 }
 
+// randomPeer returns the address of a usable peer; an empty string if there is none.
+func (vm *fleetVM) randomPeer() string {
+	others := vm.node.View().UsableIn("")
+	for _, i := range rand.Perm(len(others)) {
+		if others[i].ID != vm.member.ID {
+			return others[i].Address
+		}
+	}
+	return ""
+}
+
 // close ends all VMs.
 func (f *fleet) close() {
 	f.stop()
@@ -263,7 +313,7 @@
 			continue
 		}
 		if children := feed.Children(vm.node.View()); len(children) > 0 {
-			if child := f.byAddress[children[len(children)-1]]; last == nil || len(feed.Children(child.node.View())) == 0 {
+			if child := f.at(children[len(children)-1]); last == nil || len(feed.Children(child.node.View())) == 0 {
 				last = child
 			}
 		}
--- a/feed/follow.go
+++ b/feed/follow.go
@@ -48,7 +48,7 @@
 	// shouldFollow reports whether this VM follows the source; other VMs receive the changes from those that do.
 	shouldFollow func() bool
 	// onBatch is called with each batch of changes from the source, but not with full copies, and with the value of
-	// Mirror.RecordRevision before the batch. A batch without records shows that the source still replies.
+	// Mirror.RequiredRevision before the batch. A batch without records shows that the source still replies.
 	onBatch func(before uint64, b Batch)
 
 	start       time.Time
@@ -126,7 +126,7 @@
 	if batch.Full {
 		f.logger.Info("source_loaded", "records", len(batch.Records), "reads", batch.Reads, "revision", batch.Revision, "newest", batch.newest())
 	}
-	before := f.mirror.RecordRevision()
+	before := f.mirror.RequiredRevision()
 	if f.mirror.Apply(batch); !batch.Full {
 		f.onBatch(before, batch)
 	}
--- a/feed/mirror.go
+++ b/feed/mirror.go
@@ -71,13 +71,14 @@
 	return m.revision
 }
 
-// RecordRevision returns the highest revision of a record. Unlike Revision, it does not increase while no record
-// changes. It is no proof that the mirror holds all changes up to it: a full copy may have been read by several calls
-// between which records changed.
-func (m *Mirror) RecordRevision() uint64 {
+// RequiredRevision returns the lowest revision from which another mirror, given the records here that are newer, holds
+// all changes that this one holds. It is the highest revision of a record, or the revision up to which deletions may be
+// missing here if that is higher, and unlike Revision does not increase while no record changes. It is no proof that this
+// mirror holds all changes up to it: a full copy may have been read by several calls between which records changed.
+func (m *Mirror) RequiredRevision() uint64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.recordRevision
+	return max(m.recordRevision, m.prunedRevision)
 }
 
 // Apply applies a batch and returns how many records it changed. Records older than the known ones are ignored.
--- a/feed/peers.go
+++ b/feed/peers.go
@@ -100,9 +100,9 @@
 		lastSeen = peerContact
 	}
 	if lastSeen.IsZero() {
-		return p.mirror.RecordRevision(), nil
+		return p.mirror.RequiredRevision(), nil
 	}
-	return p.mirror.RecordRevision(), binary.BigEndian.AppendUint64(nil, uint64(max(0, time.Since(lastSeen).Milliseconds())))
+	return p.mirror.RequiredRevision(), binary.BigEndian.AppendUint64(nil, uint64(max(0, time.Since(lastSeen).Milliseconds())))
 }
 
 // ObservePeerVersion implements membership.ConfigGossip. If the peer has a record that is newer than the revision up to
@@ -155,7 +155,7 @@
 	if b.Revision <= after {
 		return
 	}
-	before := p.mirror.RecordRevision()
+	before := p.mirror.RequiredRevision()
 	changed := p.mirror.Apply(b)
 	p.logger.Info("peer_pull", "peer", address, "after", after, "revision", b.Revision, "changed", changed, "whole", b.Full)
 	if changed > 0 && !b.Full {
@@ -163,7 +163,7 @@
 	}
 }
 
-// Push pushes a batch to the children of this VM without waiting for them. before is the value of Mirror.RecordRevision
+// Push pushes a batch to the children of this VM without waiting for them. before is the value of Mirror.RequiredRevision
 // before the batch was applied.
 func (p *Peers) Push(before uint64, b Batch) {
 	msg := &peerv1.TellRequest{After: before, Records: toWire(b.Records), Revision: b.Revision, From: p.self}
@@ -209,7 +209,7 @@
 		go p.Pull(context.Background(), msg.GetFrom())
 		return connect.NewResponse(&peerv1.TellResponse{}), nil
 	}
-	before := p.mirror.RecordRevision()
+	before := p.mirror.RequiredRevision()
 	b := Batch{Records: fromWire(msg.GetRecords()), Revision: msg.GetRevision()}
 	if p.mirror.Apply(b) > 0 || len(b.Records) == 0 {
 		p.Push(before, b)
