forward: a stopping VM refuses a request whose body has just arrived

Cause: the VM checked whether it refuses requests before it read the body, which may take as long as the caller likes.

Evidence: a stop bound of 5 s, the body 2 s after the signal: the request reached the target and got 200.

Change: the check is made again once the body is there. The response is 503, closes the connection, and is true.

Test that failed before (200 instead of 503): TestSiteStopRefusesARequestWhoseBodyIsLate.

--- a/cmd/teaselbankd/site_test.go
+++ b/cmd/teaselbankd/site_test.go
@@ -193,6 +193,40 @@
 	require.Zero(t, v.stop(), v.stderr.String())
 }
 
+// Guards against a request whose body arrives after a stopping VM has begun to refuse requests, and that is passed on to a
+// target all the same, although the end of the process would cut it off.
+func TestSiteStopRefusesARequestWhoseBodyIsLate(t *testing.T) {
+	store, target := newSite(t)
+	store.Publish(4, 10, []platformtest.Route{{Name: "s", Service: "s", MaxTargets: 1, TimeoutMS: 60_000, ObjectiveMS: 500}})
+	v := newSiteVM(t, store.Address, "vm-1", 5)
+	v.start()
+	require.Eventually(t, v.isReady, waitTimeout, 5*time.Millisecond)
+	conn, err := net.Dial("tcp", v.front)
+	require.NoError(t, err)
+	_, err = io.WriteString(conn, "POST /s/x HTTP/1.1\r\nHost: h.example\r\n"+platformtest.HeaderID+": r\r\nContent-Length: 4\r\nExpect: 100-continue\r\n\r\n")
+	require.NoError(t, err)
+	responses := bufio.NewReader(conn)
+	interim, err := http.ReadResponse(responses, nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusContinue, interim.StatusCode, "the VM must wait for the body")
+	v.signals <- syscall.SIGTERM
+	require.Eventually(t, func() bool {
+		c, err := net.Dial("tcp", v.front)
+		if err == nil {
+			_ = c.Close()
+		}
+		return err != nil
+	}, waitTimeout, 5*time.Millisecond)
+	_, err = io.WriteString(conn, "body")
+	require.NoError(t, err)
+	resp, err := http.ReadResponse(responses, nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.True(t, resp.Close)
+	require.Empty(t, target.Arrivals())
+	require.Zero(t, v.stop(), v.stderr.String())
+}
+
 // Guards against a status that lacks the VM's configuration, its targets or the zones taken out, or the times of the
 // last changes and of the last contact with the store and with another zone.
 func TestSiteStatus(t *testing.T) {
--- a/forward/service.go
+++ b/forward/service.go
@@ -228,9 +228,7 @@
 		return
 	}
 	sum.ID = req.ID
-	if s.Refusing != nil && s.Refusing() {
-		s.refused.Add(1)
-		sum.refuse(w, http.StatusServiceUnavailable, "this VM is stopping", retryStopping)
+	if s.refuseStopping(w, sum) {
 		return
 	}
 	table := set.snapshot.Table
@@ -253,9 +251,24 @@
 		sum.refuse(w, status, err.Error(), 0)
 		return
 	}
+	// The body may have taken long to arrive.
+	if s.refuseStopping(w, sum) {
+		return
+	}
 	s.serve(r.Context(), w, set, route, req, sum)
 }
 
+// refuseStopping refuses a request if the process is about to end, and reports whether it did.
+func (s *Service) refuseStopping(w http.ResponseWriter, sum *Summary) bool {
+	if s.Refusing == nil || !s.Refusing() {
+		return false
+	}
+	s.refused.Add(1)
+	w.Header().Set("Connection", "close")
+	sum.refuse(w, http.StatusServiceUnavailable, "this VM is stopping", retryStopping)
+	return true
+}
+
 // Values of Retry-After.
 const (
 	retryUnconfigured = 300 * time.Millisecond
