callerfront, lifecycle: requests that outlast a planned stop get a response

What callers saw: requests that were still running at the end of a planned stop were cut off without a response, also if they may not be repeated (LOST; reported by other operators).

Cause: an accepted request was bounded by its own deadline and its route's timeout only. Nothing ended it while there was time for a response. Drains of deployments with bundles had the same fault: the policy allows deadlines of up to a minute, and a drain takes 20 s.

Evidence: a stop bound of 3 s, a target that does not reply, three requests with 10 s left (idempotent, not idempotent, over shards): none had a response when the stop had ended.

Change: 250 ms before the end of a stop the running requests end. A search with enough parts is answered; other requests get 502, or 503 if no target can have them; callers of deployments with bundles get the outcome unknown or not_run.

Tests that failed before: TestSiteStopAnswersRequestsThatOutlastIt, TestDrainEndsRequestsInTimeForTheirResponses.

--- a/cmd/teaselbankd/site_test.go
+++ b/cmd/teaselbankd/site_test.go
@@ -193,6 +193,45 @@
 	require.Zero(t, v.stop(), v.stderr.String())
 }
 
+// Guards against requests that a stop cuts off without a response because they outlast it: each caller must be told before the
+// process ends, and not that the request did not run.
+func TestSiteStopAnswersRequestsThatOutlastIt(t *testing.T) {
+	store, target := newStore(t), newTarget(t, "i-1", "one")
+	const minute = 60_000
+	store.Publish(3, 10, []platformtest.Route{
+		{Name: "safe", Service: "s", MaxTargets: 1, TimeoutMS: minute, ObjectiveMS: 500},
+		{Name: "once", Service: "s", MaxTargets: 1, TimeoutMS: minute, ObjectiveMS: 500, NonIdempotent: true},
+		{Name: "all", Shards: []string{"s"}, TopRecords: 1, MinCoverage: 1, MaxTargets: 1, TimeoutMS: minute, ObjectiveMS: 500},
+	})
+	store.Register(target, "s", "a", false)
+	arrived, release := make(chan struct{}, 3), make(chan struct{})
+	defer close(release)
+	target.SetBehaviour(func(platformtest.Arrival) platformtest.Behaviour {
+		arrived <- struct{}{}
+		return platformtest.Behaviour{Raw: func(net.Conn, platformtest.Arrival) { <-release }}
+	})
+	v := newSiteVM(t, store.Address, "vm-1", 3)
+	v.start()
+	require.Eventually(t, v.isReady, waitTimeout, 5*time.Millisecond)
+	type response struct {
+		status int
+		text   string
+	}
+	responses := make(chan response, 3)
+	for _, route := range []string{"safe", "once", "all"} {
+		go func() {
+			status, text := v.get("/"+route+"/x", route)
+			responses <- response{status, text}
+		}()
+		<-arrived
+	}
+	v.signals <- syscall.SIGTERM
+	for range 3 {
+		require.Equal(t, response{http.StatusBadGateway, "this VM is stopping\n"}, <-responses)
+	}
+	require.Zero(t, v.stop(), v.stderr.String())
+}
+
 // Guards against a request whose body arrives after a stopping VM has begun to refuse requests, and that is passed on to a
 // target all the same, although the end of the process would cut it off.
 func TestSiteStopRefusesARequestWhoseBodyIsLate(t *testing.T) {
--- a/forward/job.go
+++ b/forward/job.go
@@ -30,11 +30,13 @@
 	endFailed
 	endDeadline
 	endCallerLeft
+	endStopping
 )
 
 // String returns the reason as it appears in responses and logs.
 func (e endReason) String() string {
-	return [...]string{"answered", "too few targets could serve the request", "the time for the request is over", "the caller left"}[e]
+	return [...]string{"answered", "too few targets could serve the request", "the time for the request is over", "the caller left",
+		"this VM is stopping"}[e]
 }
 
 // job is the state of one request in progress. It has one unit for a request to a single service, or one for each
@@ -155,9 +157,12 @@
 }
 
 // run sends the job's units and handles their results until the request can be answered, has failed, has reached its
-// deadline, or its caller has left.
+// deadline, its caller has left, or the process is about to end.
 func (j *job) run(ctx context.Context) endReason {
 	defer j.abandonInFlight(abandonGrace)
+	if j.s.ending.Err() != nil {
+		return endStopping
+	}
 	if !j.servable() {
 		return endFailed
 	}
@@ -195,6 +200,11 @@
 		case <-ctx.Done():
 			j.abandonInFlight(callerLeftGrace)
 			return endCallerLeft
+		case <-j.s.ending.Done():
+			if j.covered >= j.minCovered() {
+				return endAnswered
+			}
+			return endStopping
 		}
 	}
 }
--- a/forward/search.go
+++ b/forward/search.go
@@ -131,7 +131,10 @@
 		return nil, 0
 	}
 	answerBy := dispatch.AnswerBy(sum.Arrived, route.Objective)
-	reply, err := s.Coordinators.Run(ctx, &Search{Request: req, Arrived: sum.Arrived, AnswerBy: answerBy, Version: sum.Version, Entry: s.VMID})
+	callCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(s.ending, cancel)()
+	reply, err := s.Coordinators.Run(callCtx, &Search{Request: req, Arrived: sum.Arrived, AnswerBy: answerBy, Version: sum.Version, Entry: s.VMID})
 	if errors.Is(err, ErrNotStarted) && ctx.Err() == nil {
 		var other *NewerVersionError
 		if errors.As(err, &other) {
@@ -147,6 +150,8 @@
 		sum.Coordinator = reply.Coordinator
 	case !time.Now().Before(req.Deadline):
 		reply = &SearchReply{Status: http.StatusGatewayTimeout, Reason: endDeadline.String()}
+	case s.ending.Err() != nil:
+		reply = &SearchReply{Status: http.StatusBadGateway, Reason: endStopping.String()}
 	default:
 		reply = &SearchReply{Status: http.StatusBadGateway, Reason: err.Error()}
 	}
--- a/forward/service.go
+++ b/forward/service.go
@@ -82,6 +82,9 @@
 	refused    atomic.Uint64
 	withheld   atomic.Uint64
 	isolated   atomic.Bool
+	// ending is done once requests must end because the process is about to; endRequests ends it.
+	ending      context.Context
+	endRequests context.CancelFunc
 	// remoteReply is when a target of another zone last replied or accepted a probe's connection, in nanoseconds since
 	// start; 0 if never.
 	remoteReply atomic.Int64
@@ -90,6 +93,7 @@
 // New returns a service without targets, which refuses requests until Update gives it a configuration.
 func New(o Options) *Service {
 	s := &Service{Options: o, start: time.Now()}
+	s.ending, s.endRequests = context.WithCancel(context.Background())
 	s.endpoints.Store(&endpointSet{snapshot: &topology.Snapshot{}})
 	return s
 }
@@ -100,6 +104,10 @@
 // Refused returns how many requests were refused because the process was about to end.
 func (s *Service) Refused() uint64 { return s.refused.Load() }
 
+// EndRequests ends the requests that are running, and at once those that start later. Their callers get a response that says
+// whether the request may have run; without it the end of the process would cut them off.
+func (s *Service) EndRequests() { s.endRequests() }
+
 // Withheld returns how often a target was passed over because the limit that it states allows this VM no more requests.
 func (s *Service) Withheld() uint64 { return s.withheld.Load() }
 
@@ -349,6 +357,8 @@
 // may retry; 0 if none is stated.
 func (j *job) failureStatus(reason endReason) (status int, wait time.Duration) {
 	switch {
+	case !j.mayHaveRun() && reason == endStopping:
+		return http.StatusServiceUnavailable, retryStopping
 	case !j.mayHaveRun():
 		return http.StatusServiceUnavailable, retryNoTarget
 	case reason == endDeadline:
--- a/lifecycle/drain.go
+++ b/lifecycle/drain.go
@@ -12,6 +12,10 @@
 // time a leaving VM gets no new work.
 const LeavePropagation = 3 * time.Second
 
+// responseTime is the part of Drain.Timeout that is reserved for the responses to requests that are still running at its
+// end. It is at most a quarter of the timeout.
+const responseTime = 250 * time.Millisecond
+
 // Leaver announces to the peers that this VM is leaving.
 type Leaver interface {
 	// Leave sends the announcement and calls done, at once or later, with the number of peers that were notified directly.
@@ -19,7 +23,8 @@
 }
 
 // Drain is a graceful shutdown. It turns readiness off, refuses new requests of callers after BalancerDelay, announces
-// the leave to the peers, and waits until all accepted requests have ended and the peers have stopped sending work.
+// the leave to the peers, and waits until all accepted requests have ended and the peers have stopped sending work. Shortly
+// before Timeout it ends the requests that are still running.
 type Drain struct {
 	State  *State
 	Clock  clockwork.Clock
@@ -54,7 +59,18 @@
 	d.wait(ctx, d.Clock.After(d.BalancerDelay), never)
 	d.State.refuse()
 
-	ctx, cancel := clockwork.WithTimeout(ctx, d.Clock, d.Timeout)
+	end := d.Clock.Now().Add(d.Timeout)
+	d.finish(ctx, end.Add(-min(responseTime, d.Timeout/4)))
+	d.State.endRequests()
+	ctx, cancel := clockwork.WithDeadline(ctx, d.Clock, end)
+	defer cancel()
+	d.waitForRequests(ctx, FromCaller)
+	return d.cutOff()
+}
+
+// finish announces the leave and waits for accepted requests, at most until a deadline.
+func (d *Drain) finish(ctx context.Context, deadline time.Time) {
+	ctx, cancel := clockwork.WithDeadline(ctx, d.Clock, deadline)
 	defer cancel()
 	notified := make(chan int, 1)
 	d.Leaver.Leave(func(n int) { notified <- n })
@@ -69,7 +85,6 @@
 	case <-d.State.forced:
 	}
 	d.waitForRequests(ctx, FromPeer)
-	return d.cutOff()
 }
 
 func never() bool { return false }
--- a/lifecycle/lifecycle.go
+++ b/lifecycle/lifecycle.go
@@ -2,6 +2,7 @@
 package lifecycle
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 )
@@ -30,6 +31,9 @@
 	refused   atomic.Uint64
 	forced    chan struct{}
 	forceOnce sync.Once
+	// ending is done once accepted requests must end; endRequests ends it.
+	ending      context.Context
+	endRequests context.CancelFunc
 
 	mu       sync.Mutex
 	ready    bool
@@ -43,9 +47,15 @@
 
 // New returns a state that is neither ready, stopping nor draining.
 func New() *State {
-	return &State{forced: make(chan struct{}), requestEnded: make(chan struct{})}
+	s := &State{forced: make(chan struct{}), requestEnded: make(chan struct{})}
+	s.ending, s.endRequests = context.WithCancel(context.Background())
+	return s
 }
 
+// Ending returns a context that is done once the accepted requests must end because the process is about to: their callers
+// must be told what is known of them, or the end of the process cuts them off.
+func (s *State) Ending() context.Context { return s.ending }
+
 // SetReady sets whether this process can serve. Once the process is stopping, Ready reports false whatever was set.
 func (s *State) SetReady(ready bool) {
 	s.mu.Lock()
--- a/plugin/callerapi/callerapi.go
+++ b/plugin/callerapi/callerapi.go
@@ -101,13 +101,21 @@
 		refuse(c, outcome.ReasonOverload)
 		return
 	}
-	ctx, cancel := context.WithTimeout(c.Request.Context(), deadline)
+	ctx, cancel := a.requestContext(c, deadline)
 	defer cancel()
 	defer func() { done(errors.Is(ctx.Err(), context.DeadlineExceeded)) }()
 	answer := a.searcher.Search(ctx, search.Query{Service: ident.ServiceID(req.Service), Body: req.Query, MinCoverage: req.MinCoverage})
 	c.JSON(statusOf(answer.Outcome), toResponse(answer))
 }
 
+// requestContext returns the context of a request that ends at its deadline, when its caller leaves, or when the process is
+// about to end.
+func (a *API) requestContext(c *gin.Context, deadline time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(c.Request.Context(), deadline)
+	stop := context.AfterFunc(a.state.Ending(), cancel)
+	return ctx, func() { stop(); cancel() }
+}
+
 func checkSearch(r *SearchRequest, b *bundle.Bundle) (time.Duration, error) {
 	switch {
 	case b.ServiceByID(ident.ServiceID(r.Service)) == nil:
--- a/plugin/callerapi/tickets.go
+++ b/plugin/callerapi/tickets.go
@@ -111,7 +111,7 @@
 		badRunRequest(c, err)
 		return
 	}
-	ctx, cancel := context.WithTimeout(c.Request.Context(), deadline)
+	ctx, cancel := a.requestContext(c, deadline)
 	defer cancel()
 	writeOutcome(c, a.runner.Run(ctx, req.Ticket, req.Body))
 }
--- a/plugin/callerapi/tickets_test.go
+++ b/plugin/callerapi/tickets_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -99,6 +100,37 @@
 	assert.Equal(t, response{Outcome: "unknown", Reason: "draining"}, r)
 }
 
+// waitingRunner is a TicketRunner whose requests run until their context ends.
+type waitingRunner struct{ began chan struct{} }
+
+func (r waitingRunner) Run(ctx context.Context, _ string, _ []byte) ticket.Outcome {
+	close(r.began)
+	<-ctx.Done()
+	return ticket.Outcome{Kind: outcome.Unknown, Reason: outcome.ReasonCancelled}
+}
+
+// Guards against a request that outlasts the drain and whose connection the end of the process closes without a response.
+func TestDrainEndsRequestsInTimeForTheirResponses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newTestAPI(fakes{})
+		runner := waitingRunner{make(chan struct{})}
+		a.runner = runner
+		type result struct {
+			status int
+			response
+		}
+		results := make(chan result, 1)
+		go func() {
+			status, r := post(t, a, "/v1/requests", `{"ticket":"t","body":1,"deadline_millis":1000}`)
+			results <- result{status, r}
+		}()
+		<-runner.began
+		drain := lifecycle.Drain{State: a.state, Clock: clockwork.NewRealClock(), Leaver: noopLeaver{}, Timeout: 800 * time.Millisecond}
+		require.NoError(t, drain.Run(t.Context()), "no request may be cut off")
+		require.Equal(t, result{504, response{Outcome: "unknown", Reason: "cancelled"}}, <-results)
+	})
+}
+
 // Guards against an outcome that is returned with the HTTP status of another one.
 func TestOutcomesMapToHTTPStatuses(t *testing.T) {
 	for status, o := range map[int]ticket.Outcome{
--- a/plugin/callerfront/callerfront.go
+++ b/plugin/callerfront/callerfront.go
@@ -28,6 +28,8 @@
 	stopMargin = 500 * time.Millisecond
 	// shutdownTime is the time reserved for requests that are still running once idle connections are closed.
 	shutdownTime = 700 * time.Millisecond
+	// responseTime is the time reserved for responses to requests that are still running at the end.
+	responseTime = 250 * time.Millisecond
 	// stopPoll is how often a stop checks whether all connections are closed.
 	stopPoll = 20 * time.Millisecond
 	// lingerShare is the part of the stop bound in which requests are still served, so that each open connection gets a
@@ -51,8 +53,15 @@
 	wait(ctx, end.Add(-shutdownTime), func() bool { return f.open.Load() == 0 })
 	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
+	running := p.Service.Running()
+	ending := time.AfterFunc(time.Until(end.Add(-responseTime)), p.Service.EndRequests)
+	defer ending.Stop()
 	err := f.shutdown(ctx)
-	p.Logger.Info("stopped", "running", p.Service.Running(), "refused", p.Service.Refused(), "err", err)
+	if f.open.Load() == 0 {
+		// Shutdown checks for the end of connections only now and then.
+		err = nil
+	}
+	p.Logger.Info("stopped", "running_late", running, "running", p.Service.Running(), "refused", p.Service.Refused(), "err", err)
 	return err
 }
 
