platform: an entry with an odd ID, address or number names no target

What operators of similar systems saw: an odd entry of another writer ended the machines that read the list, or stopped them following it. Here no VM ended, but an ID with a line end got into requests: they carried a header line of the writer's choice. Port 0, unspecified addresses and 2^63 - 1 slots were taken for targets, and 1e308 ms of cold time made a target cold for 292 years on arm64 and not at all on x86-64.

Cause: entries were checked for types, not for values. A float that exceeds a duration is converted as the processor likes; the headers Deadline-Ms and Cold-Ms had the same overflow.

Evidence: two VMs with such entries, one of which learns from the other only: the target gets requests with Expect-Instance "i-2" and the header X-Odd, which no caller sent.

--- a/cmd/teaselbankd/site_test.go
+++ b/cmd/teaselbankd/site_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -312,6 +313,52 @@
 	require.Eventually(t, func() bool { status, _ := vmWithoutStore.get("/s/x", "r2"); return status == http.StatusNotFound }, waitTimeout, 5*time.Millisecond)
 }
 
+// Guards against odd entries of another writer that end a VM, stop it or its peers following the store, or get into requests
+// to targets.
+func TestSiteOddEntriesHarmNothing(t *testing.T) {
+	store, target := newSite(t)
+	entry := func(address, slots string) []byte {
+		return fmt.Appendf(nil, `{"service":"s","address":%q,"zone":"a","version":"v1","max_concurrency":%s,"state":"ready","cold_left_ms":0,"sequence":1}`, address, slots)
+	}
+	for id, value := range map[string][]byte{
+		"nested":          bytes.Repeat([]byte(`{"a":[`), 100_000),
+		"large-number":    entry(target.Address, "9223372036854775807"),
+		"larger-number":   entry(target.Address, "1e400"),
+		"port":            entry("127.0.0.1:65536", "4"),
+		"port-0":          entry("127.0.0.1:0", "4"),
+		"i-2\r\nX-Odd: 1": entry(target.Address, "4"),
+	} {
+		store.RegisterBytes(id, value)
+	}
+	failingStore := newStore(t)
+	failingStore.Fail(func(string) int { return http.StatusServiceUnavailable })
+	follower := newSiteVM(t, store.Address, "vm-1", 3)
+	peer := newSiteVM(t, failingStore.Address, "vm-2", 3, follower.control)
+	follower.start()
+	peer.start()
+	serves := func(v *siteVM, path, want string) func() bool {
+		return func() bool { _, text := v.get(path, "r"); return text == want }
+	}
+	for _, v := range []*siteVM{follower, peer} {
+		require.Eventually(t, serves(v, "/s/x", "one"), waitTimeout, 5*time.Millisecond)
+	}
+	store.RegisterBytes("nested", bytes.Repeat([]byte(`[`), 1_000_000))
+	two := newTarget(t, "i-3", "two")
+	store.Configure(4, "s", "u")
+	store.Register(two, "u", "a", false)
+	for _, v := range []*siteVM{follower, peer} {
+		require.Eventually(t, serves(v, "/u/x", "two"), waitTimeout, 5*time.Millisecond)
+		for range 20 {
+			status, text := v.get("/s/x", "r")
+			require.Equal(t, http.StatusOK, status, text)
+		}
+	}
+	for _, a := range target.Arrivals() {
+		require.Equal(t, "i-1", a.Expect, "only the entry of the target names it")
+		require.Empty(t, a.Header.Get("X-Odd"))
+	}
+}
+
 // Guards against a start with an invalid settings file that does not name each faulty setting.
 func TestSiteBadSettings(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "boot.toml")
