platform: an item of the store that can't be read costs no other

What operators of similar systems saw: one odd entry stopped the machines from following the list.

Cause: a response of the store was decoded as a whole. An item whose value, key or revision can't be read made it an error, and the follower asked for the same again, without end. On a read of all records the last item of a page named the next page.

--- a/feed/follow.go
+++ b/feed/follow.go
@@ -126,6 +126,9 @@
 	if batch.Full {
 		f.logger.Info("source_loaded", "records", len(batch.Records), "reads", batch.Reads, "revision", batch.Revision, "newest", batch.newest())
 	}
+	if batch.Unreadable > 0 {
+		f.logger.Warn("source_items_unreadable", "items", batch.Unreadable, "after", after, "revision", batch.Revision)
+	}
 	before := f.mirror.RequiredRevision()
 	if f.mirror.Apply(batch); !batch.Full {
 		f.onBatch(before, batch)
--- a/feed/mirror.go
+++ b/feed/mirror.go
@@ -28,6 +28,8 @@
 	Full bool
 	// Reads is the number of calls to the source that the batch took, 0 if unknown.
 	Reads int
+	// Unreadable is the number of items of the source that could not be read and are left out.
+	Unreadable int
 }
 
 // newest returns the highest revision of a record in the batch.
