platformclient: an odd entry of the VM list costs no other

What could be seen: in a deployment with bundles one entry of the platform's list of VMs with a field of another type made every VM ignore the whole list. An entry whose port is out of range, or whose ID is 64 KB long, was probed and passed on to other VMs.

Change: entries are decoded one by one; those that can't be a VM's are left out, counted and logged (vm_list, unreadable_entries).

--- a/platformclient/client.go
+++ b/platformclient/client.go
@@ -7,7 +7,9 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -17,7 +19,9 @@
 // Limits on a read.
 const (
 	maxVMListBytes = 1 << 20
-	readTimeout    = 3 * time.Second
+	// maxEntryBytes bounds the fields of one entry of the list, which are sent to other VMs.
+	maxEntryBytes = 512
+	readTimeout   = 3 * time.Second
 	// watchMargin is how much longer than its wait a long poll may take before it is abandoned.
 	watchMargin = 5 * time.Second
 )
@@ -50,19 +54,37 @@
 	return c.get(ctx, url, bundle.MaxBytes)
 }
 
-// VMs returns the platform's list of VMs.
-func (c *Client) VMs(ctx context.Context) ([]VM, error) {
+// VMs returns the platform's list of VMs, without the entries that can't be those of a VM, and the number of these.
+func (c *Client) VMs(ctx context.Context) (vms []VM, unreadable int, err error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	data, err := c.get(ctx, c.base+"/v1/vms", maxVMListBytes)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
-	var vms []VM
-	if err := json.Unmarshal(data, &vms); err != nil {
-		return nil, fmt.Errorf("decode platform VM list: %w", err)
+	var entries []json.RawMessage
+	if err := json.Unmarshal(data, &entries); err != nil {
+		return nil, 0, fmt.Errorf("decode platform VM list: %w", err)
 	}
-	return vms, nil
+	for _, entry := range entries {
+		var vm VM
+		if json.Unmarshal(entry, &vm) != nil || !vm.valid() {
+			unreadable++
+			continue
+		}
+		vms = append(vms, vm)
+	}
+	return vms, unreadable, nil
+}
+
+// valid reports whether the entry can be that of a VM.
+func (vm *VM) valid() bool {
+	_, port, err := net.SplitHostPort(vm.PeerAddress)
+	if err != nil {
+		return false
+	}
+	n, err := strconv.ParseUint(port, 10, 16)
+	return err == nil && n > 0 && vm.ID != "" && len(vm.ID)+len(vm.Zone)+len(vm.PeerAddress) <= maxEntryBytes
 }
 
 func (c *Client) get(ctx context.Context, url string, limit int64) ([]byte, error) {
--- a/plugin/membership/list.go
+++ b/plugin/membership/list.go
@@ -25,16 +25,16 @@
 
 func pollVMList(ctx context.Context, d *Detector, platform *platformclient.Client, logger *log.Logger) {
 	var last time.Time
-	haveList, failed := false, false
+	haveList, failed, lastUnreadable := false, false, 0
 	ticker := d.clock.NewTicker(readerInterval)
 	defer ticker.Stop()
 	for {
 		if now := d.clock.Now(); now.Sub(last) >= d.listInterval(haveList) {
 			last = now
-			vms, err := platform.VMs(ctx)
-			if ctx.Err() == nil && (err != nil) != failed {
-				failed = err != nil
-				logger.Warn("vm_list", "readable", !failed, "err", err)
+			vms, unreadable, err := platform.VMs(ctx)
+			if ctx.Err() == nil && ((err != nil) != failed || unreadable != lastUnreadable) {
+				failed, lastUnreadable = err != nil, unreadable
+				logger.Warn("vm_list", "readable", !failed, "unreadable_entries", unreadable, "err", err)
 			}
 			if err == nil {
 				haveList = true
