replyread: one budget of memory for all bodies that are being read, also with bundles

What operators of similar systems saw: a faulty leaf sent bytes without end, the machine that had called it kept them all, ran out of memory and ended, and with it the requests of other clients.

Cause here: targetclient, the client of deployments with bundles, bounded each reply to 4 MB but not all together. Sites of the platform had a common bound (leafconn), whose buffers doubled, past the limit of a body, and left as much garbage.

Change: both read bodies with replyread: 32 MB for all bodies that are being read, in blocks that are reused, and of each body nothing beyond the limit but one byte.

--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -229,6 +229,34 @@
 	require.GreaterOrEqual(t, accepted, 2)
 }
 
+// Guards against a connection that is kept, and memory that grows, as long as a target goes on sending a few bytes now and then,
+// in a head or in a body: the request ends at its deadline and the connection a little later.
+func TestSlowEndlessReplyEndsWithTheRequest(t *testing.T) {
+	for name, start := range map[string]string{"head": "HTTP/1.1 200 OK\r\nX-Long: ", "interim replies": "HTTP/1.1 103 Early Hints\r\n",
+		"body": platformtest.RawSuccess("r1") + "Content-Length: 1000000\r\n\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, testExtra)
+			l, closed := w.leaf("svc", "a", nil), make(chan struct{})
+			l.SetBehaviour(func(platformtest.Arrival) platformtest.Behaviour {
+				return platformtest.Behaviour{Raw: func(c net.Conn, _ platformtest.Arrival) {
+					_, err := io.WriteString(c, start)
+					for ticker := time.NewTicker(time.Millisecond); err == nil; <-ticker.C {
+						_, err = io.WriteString(c, "x")
+					}
+					close(closed)
+				}}
+			})
+			r := single("svc")
+			r.Idempotent = false
+			w.routes(r)
+			resp := w.get("/svc/x", "r1", 200*time.Millisecond)
+			require.Equal(t, http.StatusGatewayTimeout, resp.StatusCode)
+			_ = body(t, resp)
+			<-closed
+		})
+	}
+}
+
 // Guards against waiting beyond the caller's deadline or the route's timeout, and against a status other than 504 when
 // that time is over.
 func TestAnsweredAtTheLimit(t *testing.T) {
--- a/leafconn/conn.go
+++ b/leafconn/conn.go
@@ -4,16 +4,15 @@
 	"bufio"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
+
+	"teaselbank.example/teaselbank/replyread"
 )
 
 // Bounds of what a target may send until the send fails and its connection is closed. A target in trouble may send bytes
@@ -25,15 +24,12 @@
 	maxHeadBytes = 64 << 10
 	// maxEncodingOverhead bounds the bytes of a body's transfer encoding, in addition to the body.
 	maxEncodingOverhead = 4 << 20
-	// bodyStep is how much of a body is read before memory for more of it is reserved.
-	bodyStep = 16 << 10
-	// maxBufferedReplies bounds the bytes of all replies that are being read, beyond the first bodyStep of each. It keeps
-	// many targets that send without end within the memory of a small VM.
+	// maxBufferedReplies bounds the bytes of all bodies that are being read. It keeps many targets that send without end
+	// within the memory of a small VM.
 	maxBufferedReplies = 32 << 20
 )
 
-// bufferedReplies counts the bytes of all replies that are being read, beyond the first bodyStep of each.
-var bufferedReplies atomic.Int64
+var bodies = replyread.NewBudget(maxBufferedReplies)
 
 // readBufferSize is small because each connection has its own buffer and most replies fit into it.
 const readBufferSize = 2 << 10
@@ -239,47 +235,10 @@
 	return len(resp.TransferEncoding) > 0 && resp.TransferEncoding[0] == "chunked"
 }
 
-var (
-	errReplyTooLarge = errors.New("reply body exceeds the size limit")
-	errRepliesBusy   = errors.New("replies that are being read use all memory reserved for them")
-)
-
-// readBody reads the whole body of a reply. Memory is taken as bytes arrive and not by the length that the target states.
-func readBody(resp *http.Response) (body []byte, err error) {
+// readBody reads the whole body of a reply.
+func readBody(resp *http.Response) ([]byte, error) {
 	defer func() { _ = resp.Body.Close() }()
-	if resp.ContentLength > maxReplyBytes {
-		return nil, fmt.Errorf("%w: %d of at most %d bytes", errReplyTooLarge, resp.ContentLength, maxReplyBytes)
-	}
-	reserved := int64(0)
-	defer func() { bufferedReplies.Add(-reserved) }()
-	body = make([]byte, 0, min(max(resp.ContentLength, 0), bodyStep))
-	for {
-		if len(body) == cap(body) {
-			if len(body) > maxReplyBytes {
-				return nil, errReplyTooLarge
-			}
-			step := int64(max(len(body), bodyStep))
-			if resp.ContentLength >= 0 {
-				// One byte more than the rest, so that the end of the body is seen without a further step.
-				step = min(step, resp.ContentLength-int64(len(body))+1)
-			}
-			reserved += step
-			if bufferedReplies.Add(step) > maxBufferedReplies {
-				return nil, errRepliesBusy
-			}
-			body = slices.Grow(body, int(step))
-		}
-		n, err := resp.Body.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		switch {
-		case errors.Is(err, io.EOF) && int64(len(body)) >= resp.ContentLength:
-			return body, nil
-		case errors.Is(err, io.EOF):
-			return nil, io.ErrUnexpectedEOF
-		case err != nil:
-			return nil, err
-		}
-	}
+	return bodies.ReadAll(resp.Body, resp.ContentLength, maxReplyBytes)
 }
 
 // applyKeepAlive sets the idle limit from the timeout, in whole seconds, of the target's Keep-Alive header: idleMargin
--- a/targetclient/client.go
+++ b/targetclient/client.go
@@ -10,12 +10,16 @@
 	"time"
 
 	"teaselbank.example/teaselbank/outcome"
+	"teaselbank.example/teaselbank/replyread"
 )
 
 // Limits of a target's reply, in bytes.
 const (
-	maxReplyBytes  = 4 << 20
-	maxHeaderBytes = 64 << 10
+	maxReplyBytes = 4 << 20
+	// maxBufferedReplies bounds the bytes of all replies that are being read. It keeps targets that send without end within
+	// the memory of a small VM.
+	maxBufferedReplies = 32 << 20
+	maxHeaderBytes     = 64 << 10
 )
 
 // Timeouts of the transport.
@@ -32,6 +36,7 @@
 type Client struct {
 	http      *http.Client
 	transport *http.Transport
+	bodies    *replyread.Budget
 }
 
 // Options configures a Client.
@@ -64,7 +69,7 @@
 	}
 	// Following a redirect would send the request a second time.
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &Client{http: &http.Client{Transport: t, CheckRedirect: noRedirect}, transport: t}
+	return &Client{http: &http.Client{Transport: t, CheckRedirect: noRedirect}, transport: t, bodies: replyread.NewBudget(maxBufferedReplies)}
 }
 
 func http1Only() *http.Protocols {
@@ -109,7 +114,7 @@
 		return sendFailure(err, body.stop())
 	}
 	defer func() { _ = resp.Body.Close() }()
-	return readReply(resp, r)
+	return readReply(resp, c.bodies, r)
 }
 
 // sendFailure returns the result of a send that got no reply. bodyRead reports whether net/http read any byte of the body
--- a/targetclient/reply.go
+++ b/targetclient/reply.go
@@ -5,24 +5,24 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
 	"teaselbank.example/teaselbank/ident"
 	"teaselbank.example/teaselbank/outcome"
+	"teaselbank.example/teaselbank/replyread"
 )
 
 // readReply reads the reply body, up to maxReplyBytes, and returns the result of the send.
-func readReply(resp *http.Response, r outcome.LeafRequest) outcome.LeafResult {
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
+func readReply(resp *http.Response, bodies *replyread.Budget, r outcome.LeafRequest) outcome.LeafResult {
+	data, err := bodies.ReadAll(resp.Body, resp.ContentLength, maxReplyBytes)
 	switch {
+	case errors.Is(err, replyread.ErrTooLarge), errors.Is(err, replyread.ErrBusy):
+		return outcome.UnknownResult(outcome.ReasonMalformedReply, err.Error())
 	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
 		return outcome.UnknownResult(failureReason(err), err.Error())
 	case err != nil:
 		return outcome.UnknownResult(outcome.ReasonTruncatedReply, err.Error())
-	case len(data) > maxReplyBytes:
-		return outcome.UnknownResult(outcome.ReasonMalformedReply, fmt.Sprintf("reply body exceeds %d bytes", maxReplyBytes))
 	}
 	return parseReply(resp.StatusCode, data, r)
 }
