forward: what a target says about leaving and about a rest binds every send to it

Change: dispatch.Departure makes a target a last resort for 2 s after its first such reply and excludes it from then on. It belongs to the process and is remembered while a late reading of the registry may list it again. dispatch.Rest excludes a target until the latest end that it stated, and then sends one request at a time, spread over the VMs, until one has run. Both are asked by first sends, hedges, retries and relays; sends that wait for a connection end as not sent. A relay passes both on to the VM for which it sends. What no target may get is refused at once with the time until one takes it.

Both came in one change because they are asked at the same places and share a message of the relays.

Tests that failed without the header being read: TestStatedDepartures, TestTargetThatSaysItLeaves, TestDepartureIsThatOfTheProcess, TestRelayedDeparture. The tests of rests (TestTargetThatWantsNoRequests, TestQueuedRequestsDoNotReachATargetThatWantsNone, TestRelayOfATargetThatWantsNoRequests, TestStatedRests) were written with the code; the second one failed while the connection that brought the 503 still took the next send.

--- a/delegate/message.go
+++ b/delegate/message.go
@@ -84,7 +84,7 @@
 	for _, r := range b.Results {
 		msg.Results = append(msg.Results, &peerv1.SendResult{Index: uint32(r.Index), Status: sendStatuses[r.Status], //nolint:gosec // an index
 			HttpStatus: uint32(r.HTTPStatus), Signature: r.Signature, TookUs: r.Took.Microseconds(),
-			RateLimit: r.RateLimit}) //nolint:gosec // an HTTP status
+			RateLimit: r.RateLimit, Leaving: r.Leaving, RetryAfterUs: r.RetryAfter.Microseconds()}) //nolint:gosec // an HTTP status
 	}
 	return msg
 }
@@ -95,7 +95,7 @@
 	b := &forward.RelayBatch{Records: msg.GetRecords()}
 	for _, r := range msg.GetResults() {
 		result := forward.RelayResult{Index: int(r.GetIndex()), Status: forward.RelayBroken, HTTPStatus: int(r.GetHttpStatus()), Signature: r.GetSignature(),
-			Took: microseconds(r.GetTookUs())}
+			Took: microseconds(r.GetTookUs()), Leaving: r.GetLeaving(), RetryAfter: max(0, microseconds(r.GetRetryAfterUs()))}
 		if limit := r.GetRateLimit(); limit > 0 && !math.IsInf(limit, 0) {
 			result.RateLimit = limit
 		}
--- a/forward/endpoints.go
+++ b/forward/endpoints.go
@@ -22,6 +22,10 @@
 	Tracker *dispatch.Tracker
 	// limit is the limit that the target states with its replies.
 	limit *targetLimit
+	// departure is what the target has said about leaving.
+	departure *dispatch.Departure
+	// rest is the time for which the target wants no requests from this VM.
+	rest *dispatch.Rest
 	// limitSenders returns which VMs share that limit.
 	limitSenders func() dispatch.LimitSenders
 	// coldLimiter counts this VM's requests to the target while it is cold.
@@ -171,13 +175,13 @@
 	for _, list := range [][]*Endpoint{old.byService[e.Target.Service], old.standby[e.Target.Service]} {
 		for _, prev := range list {
 			if prev.Target.SameProcess(e.Target) {
-				e.Pool, e.Tracker, e.limit, e.coldLimiter = prev.Pool, prev.Tracker, prev.limit, prev.coldLimiter
+				e.Pool, e.Tracker, e.limit, e.departure, e.rest, e.coldLimiter = prev.Pool, prev.Tracker, prev.limit, prev.departure, prev.rest, prev.coldLimiter
 				return
 			}
 		}
 	}
 	tracker := dispatch.NewTracker()
-	e.Tracker, e.limit, e.coldLimiter = tracker, new(targetLimit), new(dispatch.ColdLimiter)
+	e.Tracker, e.limit, e.departure, e.rest, e.coldLimiter = tracker, new(targetLimit), s.departures.find(e.Target), new(dispatch.Rest), new(dispatch.ColdLimiter)
 	e.Pool = leafconn.NewPool(e.Target.ID, e.Target.Address, s.Protocol, s.Dialer, limit, &s.Connections, func(took time.Duration, err error) {
 		tracker.Dialed(time.Now(), took, err)
 	})
@@ -239,7 +243,7 @@
 	for _, list := range set.byService {
 		for _, e := range list {
 			e.Pool.CloseExpired(now)
-			if e.warm {
+			if e.warm && e.departure.Stage(now) == dispatch.Staying {
 				e.Pool.Warm(warmConnections)
 			}
 		}
@@ -250,6 +254,7 @@
 			e.Pool.Warm(standbyConnections)
 		}
 	}
+	s.departures.prune(now, set)
 }
 
 // Connections that are opened ahead of requests.
--- a/forward/job.go
+++ b/forward/job.go
@@ -235,7 +235,7 @@
 	n := 0
 	for i := range j.units {
 		if slices.ContainsFunc(j.set.byService[j.units[i].service], func(e *Endpoint) bool {
-			return j.allowed(e) && (e.local || !isolated) && !e.Tracker.Load(now).Down && e.withinLimit(now, j.viaRelay(e), firstSend)
+			return j.allowed(e) && !e.hasLeft(now) && (e.local || !isolated) && !e.Tracker.Load(now).Down && e.withinLimit(now, j.viaRelay(e), firstSend)
 		}) {
 			n++
 		}
@@ -334,14 +334,14 @@
 // connections took it.
 func (j *job) submit(i int, e *Endpoint, rtt time.Duration, now time.Time, kind sendKind) bool {
 	u := &j.units[i]
-	if !e.limit.Take(now, e.share) {
+	if !e.take(now) {
 		return false
 	}
 	a := j.begin(u, e, now, kind)
 	a.send = &leafconn.Send{Request: j.req, Done: func(r leafconn.Result) { j.sendDone(i, a, r) }}
 	if !e.Pool.Submit(a.send, now) {
 		e.Tracker.End(now, now, dispatch.Abandoned, 0)
-		e.limit.Return()
+		e.giveBack(now)
 		u.inFlight = u.inFlight[:len(u.inFlight)-1]
 		u.removeRun(e)
 		return false
@@ -430,8 +430,8 @@
 	candidates := make([]dispatch.Candidate, len(list))
 	for k, e := range list {
 		candidates[k] = dispatch.Candidate{Load: e.Tracker.Load(now), Local: e.local, RanksFirst: e.owned, Sharers: e.sharers,
-			ZoneOrder: j.zoneOrder[e.Target.Zone], Slots: e.Target.Slots, Cold: e.isCold(now), Leaving: !e.Target.LeavingSince.IsZero(), FreeConnections: e.Pool.Free(now),
-			Excluded: !j.allowed(e) || !e.withinColdShare(now) || excluded(e)}
+			ZoneOrder: j.zoneOrder[e.Target.Zone], Slots: e.Target.Slots, Cold: e.isCold(now), Leaving: e.isLeaving(now), FreeConnections: e.Pool.Free(now),
+			Excluded: !j.allowed(e) || e.hasLeft(now) || !e.withinColdShare(now) || excluded(e)}
 	}
 	return candidates, dispatch.Choose(candidates, j.estimate.Median, rand.IntN(len(list)))
 }
@@ -455,6 +455,8 @@
 	}
 	expected := j.estimate.Median
 	j.s.observeLimit(a.endpoint, r.Reply, a.started, r.At)
+	j.s.observeRest(a.endpoint, r.Reply, a.started, r.At)
+	j.s.observeDeparture(a.endpoint, r.Reply != nil && r.Reply.Leaving, r.At)
 	if r.Reply != nil && !a.endpoint.local {
 		j.s.recordRemoteReply(r.At)
 	}
--- a/forward/limits.go
+++ b/forward/limits.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -26,20 +28,20 @@
 	return until != nil && now.Before(*until)
 }
 
-func (l *targetLimit) setRelayFull(now time.Time) {
-	until := now.Add(relayFullFor)
-	l.relayFullUntil.Store(&until)
-}
+func (l *targetLimit) setRelayFull(until time.Time) { l.relayFullUntil.Store(&until) }
 
 // share returns this VM's share of a limit that the target states.
 func (e *Endpoint) share(limit float64) dispatch.LimitShare { return e.limitSenders().Share(limit) }
 
-// withinLimit reports whether the limit that the target states allows one more send. Through a relay, the relay's share
-// counts. A hedge or a paid retry leaves one request for a first send.
+// withinLimit reports whether the limit and the rest that the target states allow one more send. Through a relay, those of
+// the relay count. A hedge or a paid retry leaves one request for a first send.
 func (e *Endpoint) withinLimit(now time.Time, viaRelay bool, kind sendKind) bool {
 	if viaRelay {
 		return !e.limit.relayFull(now)
 	}
+	if !e.rest.CanSend(now) {
+		return false
+	}
 	spare := 0.0
 	if kind == paidSend {
 		spare = 1
@@ -47,6 +49,69 @@
 	return e.limit.CanSend(now, e.share, spare)
 }
 
+// take reports whether the limit and the rest that the target states allow a send now and, if so, counts it.
+func (e *Endpoint) take(now time.Time) bool {
+	return e.rest.CanSend(now) && e.limit.Take(now, e.share) && e.rest.Take(now)
+}
+
+// giveBack gives back a send that take counted and that was not sent.
+func (e *Endpoint) giveBack(now time.Time) {
+	e.limit.Return()
+	e.rest.Ended(now, false)
+}
+
+// observeRest records the end of a send, and the rest that its reply states.
+func (s *Service) observeRest(e *Endpoint, reply *leafconn.Reply, sent, now time.Time) {
+	e.rest.Ended(sent, reply != nil && reply.Disposition == leafconn.Ran)
+	if reply == nil || reply.RetryAfter <= 0 || reply.Disposition == leafconn.Misdirected || !e.rest.Stated(now, reply.RetryAfter, rand.Float64()) {
+		return
+	}
+	if s.TargetRests != nil {
+		s.TargetRests(e.Target, reply.RetryAfter)
+	}
+}
+
+// explain returns the reason of a request that was not served, with the targets that wanted none.
+func (j *job) explain(reason endReason, now time.Time) string {
+	resting, left := 0, 0
+	for i := range j.units {
+		for _, e := range j.set.byService[j.units[i].service] {
+			if e.rest.Remaining(now) > 0 {
+				resting++
+			}
+			if e.hasLeft(now) {
+				left++
+			}
+		}
+	}
+	if resting+left == 0 {
+		return reason.String()
+	}
+	return fmt.Sprintf("%s (targets that want no requests for a while: %d, that have said that they leave: %d)", reason, resting, left)
+}
+
+// restWait returns how long none of the targets that could serve a request takes it because of the rests that they state; 0 if
+// enough take one.
+func (j *job) restWait(now time.Time) time.Duration {
+	var waits []time.Duration
+	for i := range j.units {
+		wait := time.Duration(-1)
+		for _, e := range j.set.byService[j.units[i].service] {
+			if rest := e.rest.Remaining(now); j.allowed(e) && !e.hasLeft(now) && (wait < 0 || rest < wait) {
+				wait = rest
+			}
+		}
+		if wait >= 0 {
+			waits = append(waits, wait)
+		}
+	}
+	if len(waits) < j.minCovered() {
+		return 0
+	}
+	slices.Sort(waits)
+	return waits[j.minCovered()-1]
+}
+
 // observeLimit records the limit that a target's reply states, or that it states none. sent is when the request was sent.
 // A reply of another process at the target's address says nothing about the target.
 func (s *Service) observeLimit(e *Endpoint, reply *leafconn.Reply, sent, now time.Time) {
@@ -62,7 +127,7 @@
 // relayIsFull records that a relay did not send because it has no share left of the limit that the target stated to it. What
 // it knows may be older than what this VM knows, so it does not renew a limit.
 func (s *Service) relayIsFull(e *Endpoint, perSecond float64, now time.Time) {
-	e.limit.setRelayFull(now)
+	e.limit.setRelayFull(now.Add(relayFullFor))
 	if e.limit.PerSecond() == 0 {
 		s.learnLimit(e, perSecond, now)
 	}
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -58,6 +58,11 @@
 	// RateLimit is the limit that the target states, in requests a second of all VMs; 0 if it states none. With RelayNotSent
 	// it says that the relay has no share of that limit left.
 	RateLimit float64
+	// Leaving reports that the target says that it is leaving.
+	Leaving bool
+	// RetryAfter is how long the target wants no request from the relay; 0 if it states no time. With RelayNotSent it says
+	// that this is why.
+	RetryAfter time.Duration
 }
 
 // OK reports whether the records of the reply are part of its batch.
@@ -171,6 +176,9 @@
 // of its successful results, and none for the others.
 func (j *job) relayDone(g relayed, a *attempt, r *RelayResult, body []byte, at time.Time) {
 	result := leafconn.Result{At: at}
+	if r.RetryAfter > 0 {
+		g.endpoint.limit.setRelayFull(at.Add(r.RetryAfter))
+	}
 	switch r.Status {
 	case RelayNotSent:
 		result.Err = fmt.Errorf("%w: by a VM of the target's zone", leafconn.ErrNotSent)
@@ -181,8 +189,9 @@
 		result.Err = fmt.Errorf("%w: at a VM of the target's zone", leafconn.ErrBroken)
 	case RelayRan, RelayRefused, RelayMisdirected:
 		result.Reply = &leafconn.Reply{Status: r.HTTPStatus, Signature: r.Signature, Body: body, Disposition: dispositions[r.Status],
-			RateLimit: r.RateLimit}
+			RateLimit: r.RateLimit, Leaving: r.Leaving}
 		j.s.observeLimit(g.endpoint, result.Reply, a.started, at)
+		j.s.observeDeparture(g.endpoint, r.Leaving, at)
 		j.s.recordRemoteReply(at)
 	}
 	// A batch waits for its slowest result, so the time of the send is the one that the relay took, not the time until now.
@@ -206,9 +215,9 @@
 }
 
 // find returns the endpoint of a target of a service, nil if it is unknown or must get no new requests.
-func (set *endpointSet) find(service ident.ServiceID, target ident.TargetID) *Endpoint {
+func (set *endpointSet) find(service ident.ServiceID, target ident.TargetID, now time.Time) *Endpoint {
 	for _, e := range set.byService[service] {
-		if e.Target.ID == target && e.Target.LeavingSince.IsZero() && !set.snapshot.ZonesOut[e.Target.Zone] {
+		if e.Target.ID == target && !e.isLeaving(now) && !set.snapshot.ZonesOut[e.Target.Zone] {
 			return e
 		}
 	}
@@ -220,8 +229,9 @@
 	index  int
 	status RelayStatus
 	result leafconn.Result
-	// limit is that of the target if it is why nothing was sent.
+	// limit and rest are those of the target if they are why nothing was sent.
 	limit float64
+	rest  time.Duration
 }
 
 // SendAll sends a request to targets for a VM of another zone, once to each, and passes the results to deliver until all
@@ -278,18 +288,20 @@
 	}
 	var sends []*leafconn.Send
 	for i, to := range r.Sends {
-		e := set.find(to.Service, to.Target)
+		e := set.find(to.Service, to.Target, now)
 		if e == nil || !e.withinColdShare(now) {
 			results <- relaySend{index: i, status: RelayNotSent}
 			continue
 		}
-		if !e.limit.Take(now, e.share) {
-			results <- relaySend{index: i, status: RelayNotSent, limit: e.limit.PerSecond()}
+		if !e.take(now) {
+			results <- relaySend{index: i, status: RelayNotSent, limit: e.limit.PerSecond(), rest: e.rest.Remaining(now)}
 			continue
 		}
 		send := &leafconn.Send{Request: r.Request}
 		send.Done = func(result leafconn.Result) {
 			s.observeLimit(e, result.Reply, now, result.At)
+			s.observeRest(e, result.Reply, now, result.At)
+			s.observeDeparture(e, result.Reply != nil && result.Reply.Leaving, result.At)
 			if result.Reply == nil && !result.Sent() {
 				e.limit.Return()
 			}
@@ -302,7 +314,7 @@
 		e.Tracker.Begin(now)
 		if !e.Pool.Submit(send, now) {
 			e.Tracker.End(now, now, dispatch.Abandoned, 0)
-			e.limit.Return()
+			e.giveBack(now)
 			results <- relaySend{index: i, status: RelayNotSent}
 			continue
 		}
@@ -341,9 +353,10 @@
 }
 
 func (b *batchBuilder) add(d relaySend) {
-	result := RelayResult{Index: d.index, Status: d.status, Took: max(0, d.result.At.Sub(b.began)), RateLimit: d.limit}
+	result := RelayResult{Index: d.index, Status: d.status, Took: max(0, d.result.At.Sub(b.began)), RateLimit: d.limit, RetryAfter: d.rest}
 	if reply := d.result.Reply; reply != nil {
 		result.HTTPStatus, result.Signature, result.RateLimit = reply.Status, reply.Signature, reply.RateLimit
+		result.Leaving, result.RetryAfter = reply.Leaving, reply.RetryAfter
 		if result.OK() {
 			b.top.add(reply.Body)
 		}
--- a/forward/search.go
+++ b/forward/search.go
@@ -200,7 +200,7 @@
 	reason := s.runJob(ctx, j, f, sum)
 	if reason != endAnswered {
 		status, wait := j.failureStatus(reason)
-		return &SearchReply{Status: status, Reason: reason.String(), RetryAfter: wait, Coordinator: s.VMID}
+		return &SearchReply{Status: status, Reason: j.explain(reason, time.Now()), RetryAfter: wait, Coordinator: s.VMID}
 	}
 	return j.merge()
 }
--- a/forward/service.go
+++ b/forward/service.go
@@ -52,6 +52,11 @@
 	// LimitChanged is called when a target states another limit than before, in requests a second of all VMs; 0 if it no
 	// longer states one. It must not block. It may be nil.
 	LimitChanged func(t *topology.Target, perSecond float64)
+	// TargetRests is called when a target states a time for which it wants no requests from this VM that ends later than the
+	// one before. It must not block. It may be nil.
+	TargetRests func(t *topology.Target, d time.Duration)
+	// TargetLeaving is called when a target says for the first time that it is leaving. It must not block. It may be nil.
+	TargetLeaving func(t *topology.Target)
 	// CloseConnections reports whether callers should reconnect, so that the balancer gives them another VM. While it
 	// reports true, responses close their connections. It may be nil.
 	CloseConnections func() bool
@@ -76,6 +81,7 @@
 	endpoints  atomic.Pointer[endpointSet]
 	estimators sync.Map // routeKey to *dispatch.LatencyEstimator
 	budgets    sync.Map // ident.ServiceID to *dispatch.Budget
+	departures departures
 	running    atomic.Int64
 	requests   atomic.Uint64
 	unserved   atomic.Uint64
@@ -108,7 +114,8 @@
 // whether the request may have run; without it the end of the process would cut them off.
 func (s *Service) EndRequests() { s.endRequests() }
 
-// Withheld returns how often a target was passed over because the limit that it states allows this VM no more requests.
+// Withheld returns how often a target was passed over because the limit or the rest that it states allows this VM no more
+// requests.
 func (s *Service) Withheld() uint64 { return s.withheld.Load() }
 
 // Counts returns how many requests for targets have ended, and how many of them failed because too few targets served
@@ -333,7 +340,7 @@
 		s.writeReply(w, reply, sum)
 	default:
 		status, wait := j.failureStatus(reason)
-		sum.refuse(w, status, reason.String(), wait)
+		sum.refuse(w, status, j.explain(reason, time.Now()), wait)
 	}
 }
 
@@ -360,7 +367,7 @@
 	case !j.mayHaveRun() && reason == endStopping:
 		return http.StatusServiceUnavailable, retryStopping
 	case !j.mayHaveRun():
-		return http.StatusServiceUnavailable, retryNoTarget
+		return http.StatusServiceUnavailable, max(retryNoTarget, j.restWait(time.Now()))
 	case reason == endDeadline:
 		return http.StatusGatewayTimeout, 0
 	}
--- a/leafconn/conn.go
+++ b/leafconn/conn.go
@@ -158,12 +158,17 @@
 }
 
 // handleRead reuses or closes the connection after a reply was read or reading failed, delivers the result of the send,
-// and reports whether the connection stays open.
+// and reports whether the connection stays open. If the reply says that the target wants no requests for a while, the sends
+// that wait for a connection end.
 func (c *conn) handleRead(s *Send, reply *Reply, reusable bool, err error) bool {
 	p := c.pool
 	p.mu.Lock()
 	keepOpen := err == nil && reusable && !c.writing && c.br.Buffered() == 0
 	var next *Send
+	var unsent []*Send
+	if reply != nil && reply.RetryAfter > 0 {
+		unsent = p.takeWaiting()
+	}
 	if err == nil {
 		c.replied = true
 		p.dialBackoff.Replied(time.Now())
@@ -181,6 +186,9 @@
 	}
 	p.mu.Unlock()
 	c.deliverOnce(s, Result{Send: s, Reply: reply, Err: err})
+	for _, waiting := range unsent {
+		waiting.deliver(Result{Send: waiting, Err: fmt.Errorf("%w: %w", ErrNotSent, ErrTargetRests), At: time.Now()})
+	}
 	if next != nil {
 		c.write(next)
 	}
--- a/leafconn/leafconn.go
+++ b/leafconn/leafconn.go
@@ -79,6 +79,11 @@
 	ColdLeft time.Duration
 	// RateLimit is how many requests a second the target states that it takes from all VMs together; 0 if it states none.
 	RateLimit float64
+	// Leaving reports that the target says that it is leaving. It is false for the reply of another process at its address.
+	Leaving bool
+	// RetryAfter is how long a target that turns the request away with status 503 wants no request from this VM; 0 if it
+	// states no time.
+	RetryAfter time.Duration
 }
 
 // OK reports whether the reply is signed and has a 2xx status.
@@ -101,6 +106,9 @@
 	ErrBroken         = errors.New("connection ended before the whole reply was read")
 	ErrMalformedReply = errors.New("no valid reply to this request could be read from the connection")
 	ErrAbandoned      = errors.New("send abandoned by its caller")
+	// ErrTargetRests is why a send that waited for a connection was not sent: a reply to another one said that the target wants
+	// no requests for a while.
+	ErrTargetRests = errors.New("the target wants no requests for a while")
 )
 
 // Result is the outcome of one send.
--- a/leafconn/pool.go
+++ b/leafconn/pool.go
@@ -234,12 +234,7 @@
 	if len(p.all)-len(p.idle)+p.dialing > 0 {
 		return nil
 	}
-	failed := p.waiting
-	p.waiting = nil
-	for _, s := range failed {
-		s.done = true
-	}
-	return failed
+	return p.takeWaiting()
 }
 
 // assign gives a free connection to the first waiting send whose request it has not carried, and returns that send. If
@@ -292,16 +287,22 @@
 
 func (s *Send) deliver(r Result) { s.Done(r) }
 
+// takeWaiting empties and returns the queue; p.mu must be held.
+func (p *Pool) takeWaiting() []*Send {
+	waiting := p.waiting
+	p.waiting = nil
+	for _, s := range waiting {
+		s.done = true
+	}
+	return waiting
+}
+
 // Close closes the pool. Idle connections are closed at once, the others after their reply. Waiting sends end with
 // ErrNotSent.
 func (p *Pool) Close() {
 	p.mu.Lock()
 	p.closed = true
-	failed := p.waiting
-	p.waiting = nil
-	for _, s := range failed {
-		s.done = true
-	}
+	failed := p.takeWaiting()
 	for _, c := range slices.Clone(p.idle) {
 		p.drop(c, ClosedSpare)
 	}
--- a/plugin/forwarding/forwarding.go
+++ b/plugin/forwarding/forwarding.go
@@ -75,7 +75,21 @@
 	logger = logger.With("component", "forwarding")
 	return forward.New(forward.Options{VMID: s.VMID, Zone: s.Zone, Regions: s.Regions, Protocol: protocol, Dialer: dialer,
 		Extra: s.Extra, Cold: s.Cold, Guard: guard, Coordinators: coordinators, Relays: relays, Pace: pace, Report: reporter(decisions, inst), CloseConnections: func() bool { return !state.Ready() }, Refusing: state.Draining,
-		LimitChanged: func(t *topology.Target, perSecond float64) { logLimit(logger, inst, t, perSecond) }})
+		LimitChanged:  func(t *topology.Target, perSecond float64) { logLimit(logger, inst, t, perSecond) },
+		TargetRests:   func(t *topology.Target, d time.Duration) { logRest(logger, inst, t, d) },
+		TargetLeaving: func(t *topology.Target) { logLeaving(logger, inst, t) }})
+}
+
+// logRest logs and counts a time for which a target wants no requests from this VM.
+func logRest(logger *log.Logger, inst *instruments, t *topology.Target, d time.Duration) {
+	inst.rests.Add(context.Background(), 1)
+	logger.Info("target_rest", "target", t.ID, "service", t.Service, "zone_of", t.Zone, "stated", d)
+}
+
+// logLeaving logs and counts a target that says in a reply that it is leaving.
+func logLeaving(logger *log.Logger, inst *instruments, t *topology.Target) {
+	inst.departures.Add(context.Background(), 1)
+	logger.Info("target_leaving", "target", t.ID, "service", t.Service, "zone_of", t.Zone, "known_from_registry", !t.LeavingSince.IsZero())
 }
 
 // logLimit logs and counts a change of the limit that a target states.
--- a/plugin/forwarding/metrics.go
+++ b/plugin/forwarding/metrics.go
@@ -21,6 +21,10 @@
 	extras  metric.Int64Counter
 	missing metric.Int64Counter
 	limits  metric.Int64Counter
+	// departures counts the targets that said that they are leaving.
+	departures metric.Int64Counter
+	// rests counts the times for which targets wanted no requests.
+	rests metric.Int64Counter
 }
 
 func newInstruments(meter metric.Meter) (*instruments, error) {
@@ -29,7 +33,9 @@
 	extras, errExtras := meter.Int64Counter("request_extra_sends", metric.WithDescription("sends beyond the first of each request and shard, by route"))
 	missing, errMissing := meter.Int64Counter("request_missing_shards", metric.WithDescription("shards that answers of status 200 left out, by route"))
 	limits, errLimits := meter.Int64Counter("target_limit_changes", metric.WithDescription("times that a target stated another limit than before, or none"))
-	return &instruments{latency, extras, missing, limits}, errors.Join(errLatency, errExtras, errMissing, errLimits)
+	departures, errDepartures := meter.Int64Counter("target_departures", metric.WithDescription("targets that said in a reply that they are leaving"))
+	rests, errRests := meter.Int64Counter("target_rests", metric.WithDescription("times for which a target wanted no requests from this VM"))
+	return &instruments{latency, extras, missing, limits, departures, rests}, errors.Join(errLatency, errExtras, errMissing, errLimits, errDepartures, errRests)
 }
 
 func (i *instruments) observe(sum *forward.Summary) {
@@ -47,7 +53,7 @@
 func registerConnections(service *forward.Service, meter metric.Meter) error {
 	counters := []observe.Instrument{{Name: "target_connections_opened", Description: "connections opened to targets",
 		Read: observe.Uint64(service.Connections.Opened)},
-		{Name: "sends_withheld_by_limit", Description: "times that a target was passed over because its limit allows this VM no more requests",
+		{Name: "sends_withheld_by_limit", Description: "times that a target was passed over because its limit or its rest allows this VM no more requests",
 			Read: observe.Uint64(service.Withheld)}}
 	for _, reason := range leafconn.CloseReasons() {
 		counters = append(counters, observe.Instrument{Name: "target_connections_closed_" + reason.String(), Description: "connections to targets that ended: " + reason.String(),
