feed: a call between VMs may take longer the more it carries

What callers could see: a configuration of 1 MB reached no VM that does not follow the store where links have 20 Mbit/s, as on the grown sites; such VMs kept the old one (CONFIG).

Cause: pushes and pulls ended after 0.8 s whatever they carried; a follower pushes to four VMs at once, which takes 1.6 s.

Change: the time of a call grows by 2 s for each MB of the values that it carries, for a pull by the size of the whole copy.

Test that failed before: TestReplayLargeConfigurationOverSlowLinks.

--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -69,6 +71,8 @@
 type history struct {
 	rev uint64
 	log []feed.Record
+	// valueBytes is the size of new values; 0 stands for that of the revision's number.
+	valueBytes int
 }
 
 func newHistory() *history { return &history{rev: 1} }
@@ -78,6 +82,9 @@
 	r := feed.Record{Key: key, Revision: h.rev, Deleted: deleted}
 	if !deleted {
 		r.Value = []byte(strconv.FormatUint(h.rev, 10))
+		for random := rand.New(rand.NewPCG(h.rev, 0)); len(r.Value) < h.valueBytes; {
+			r.Value = binary.BigEndian.AppendUint64(r.Value, random.Uint64()) // can't be compressed
+		}
 	}
 	h.log = append(h.log, r)
 }
--- a/feed/fleet_test.go
+++ b/feed/fleet_test.go
@@ -1,9 +1,11 @@
 package feed_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
@@ -37,6 +39,8 @@
 	alone atomic.Pointer[ident.Zone]
 	// bound is the time in which a change must have reached every VM.
 	bound time.Duration
+	// byteTime is how long a VM needs to send or receive one byte of a call to a peer, while it has as many calls as usual.
+	byteTime time.Duration
 }
 
 // at returns the VM that has an address now; nil if none has it.
@@ -149,17 +153,36 @@
 // RoundTrip carries the calls of this VM's Peers.
 func (vm *fleetVM) RoundTrip(r *http.Request) (*http.Response, error) {
 	to := vm.fleet.at(r.URL.Host)
-	time.Sleep(hop)
+	message, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, err
+	}
+	r.Body = io.NopCloser(bytes.NewReader(message))
+	if err := vm.fleet.transfer(r, len(message)); err != nil {
+		return nil, err
+	}
 	if !vm.fleet.connected(vm, to) {
 		<-r.Context().Done()
 		return nil, r.Context().Err()
 	}
 	w := httptest.NewRecorder()
 	to.handler.ServeHTTP(w, r)
-	time.Sleep(hop)
+	if err := vm.fleet.transfer(r, w.Body.Len()); err != nil {
+		return nil, err
+	}
 	return w.Result(), nil
 }
 
+// transfer takes the time in which so many bytes reach a peer, unless the request's context ends before.
+func (f *fleet) transfer(r *http.Request, size int) error {
+	select {
+	case <-time.After(hop + time.Duration(size)*f.byteTime):
+		return nil
+	case <-r.Context().Done():
+		return r.Context().Err()
+	}
+}
+
 // exchange calls f on a peer that can be reached, and done with an error otherwise.
 func (vm *fleetVM) exchange(to membership.Member, timeout time.Duration, f func(*fleetVM), done func(error)) {
 	go func() {
--- a/feed/mirror.go
+++ b/feed/mirror.go
@@ -41,6 +41,15 @@
 	return newest
 }
 
+// valueBytes returns the size of all values in the batch.
+func (b *Batch) valueBytes() int {
+	n := 0
+	for i := range b.Records {
+		n += len(b.Records[i].Value)
+	}
+	return n
+}
+
 // maxTombstones limits the tombstones, the records of deleted keys, that are kept for peers that lag behind. A peer
 // that lags further gets a full copy.
 const maxTombstones = 1024
@@ -55,7 +64,9 @@
 	// prunedRevision is the revision up to which deletions may be missing, because they were pruned or never received.
 	prunedRevision uint64
 	tombstones     int
-	onChange       func(revision uint64, changed []Record)
+	// valueBytes is the size of all values.
+	valueBytes int
+	onChange   func(revision uint64, changed []Record)
 }
 
 // NewMirror returns an empty mirror. After each batch that changed records, and after the first one, onChange is called
@@ -83,6 +94,13 @@
 	return max(m.recordRevision, m.prunedRevision)
 }
 
+// ValueBytes returns the size of all values.
+func (m *Mirror) ValueBytes() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.valueBytes
+}
+
 // Apply applies a batch and returns how many records it changed. Records older than the known ones are ignored.
 func (m *Mirror) Apply(b Batch) int {
 	m.mu.Lock()
@@ -140,6 +158,7 @@
 		return false
 	}
 	m.records[r.Key] = r
+	m.valueBytes += len(r.Value) - len(old.Value)
 	m.recordRevision = max(m.recordRevision, r.Revision)
 	m.tombstones += boolToInt(r.Deleted) - boolToInt(known && old.Deleted)
 	return !r.Deleted || known && !old.Deleted
--- a/feed/peers.go
+++ b/feed/peers.go
@@ -18,7 +18,13 @@
 
 // Timing of calls to peers.
 const (
+	// peerTimeout bounds a call that carries little.
 	peerTimeout = 800 * time.Millisecond
+	// byteTime is how much longer a call may take for each byte of the values that it carries: a small VM has a link of 20
+	// Mbit/s and sends to several peers at once.
+	byteTime = 2 * time.Microsecond
+	// firstPullBytes is the size assumed of a copy for a VM that has none.
+	firstPullBytes = 1 << 20
 	// catchUpDelay is how long a VM that learns of a newer revision from a probe waits for the usual push before it
 	// pulls.
 	catchUpDelay = 250 * time.Millisecond
@@ -143,7 +149,7 @@
 // Pull requests changes from the peer at an address, applies them and, unless the reply is a full copy, pushes them on.
 func (p *Peers) Pull(ctx context.Context, address string) {
 	p.pulls.Add(1)
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	ctx, cancel := context.WithTimeout(ctx, p.pullTimeout())
 	defer cancel()
 	after := p.mirror.Revision()
 	resp, err := p.client(address).Changes(ctx, connect.NewRequest(&peerv1.ChangesRequest{After: after}))
@@ -163,14 +169,28 @@
 	}
 }
 
+// callTimeout returns the time that a call with values of so many bytes may take.
+func callTimeout(valueBytes int) time.Duration {
+	return peerTimeout + time.Duration(valueBytes)*byteTime
+}
+
+// pullTimeout returns the time that a pull may take, which may return a full copy.
+func (p *Peers) pullTimeout() time.Duration {
+	if p.mirror.Revision() == 0 {
+		return callTimeout(firstPullBytes)
+	}
+	return callTimeout(p.mirror.ValueBytes())
+}
+
 // Push pushes a batch to the children of this VM without waiting for them. before is the value of Mirror.RequiredRevision
 // before the batch was applied.
 func (p *Peers) Push(before uint64, b Batch) {
 	msg := &peerv1.TellRequest{After: before, Records: toWire(b.Records), Revision: b.Revision, From: p.self}
+	timeout := callTimeout(b.valueBytes())
 	for _, address := range p.children() {
 		p.pushes.Add(1)
 		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+			ctx, cancel := context.WithTimeout(context.Background(), timeout)
 			defer cancel()
 			if _, err := p.client(address).Tell(ctx, connect.NewRequest(&peerv1.TellRequest{After: msg.After, Records: msg.Records,
 				Revision: msg.Revision, From: msg.From})); err != nil {
--- a/feed/restart_test.go
+++ b/feed/restart_test.go
@@ -92,3 +92,21 @@
 	m.Apply(feed.Batch{Revision: 9})
 	require.EqualValues(t, 6, m.RequiredRevision(), "a revision without a change requires nothing of others")
 }
+
+// Guards against a configuration that is too large to be pushed or pulled over the link of a small VM in the time that a call may
+// take, so that it reaches no VM that does not follow the source.
+func TestReplayLargeConfigurationOverSlowLinks(t *testing.T) {
+	const valueBytes, bound = 1 << 20, 5 * time.Second
+	for seed := range uint64(5) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(rand.New(rand.NewPCG(seed, 0)), bound, 19, 19, 19)
+			defer f.close()
+			// A link of 20 Mbit/s, which a VM shares among four pushes.
+			f.byteTime = 1600 * time.Nanosecond
+			f.source.mu.Lock()
+			f.source.h.valueBytes = valueBytes
+			f.source.mu.Unlock()
+			require.LessOrEqual(t, f.slowest("config", 2*bound, func(*fleetVM) bool { return true }), bound)
+		})
+	}
+}
