forward: a rest is remembered with the departure of its process

Change: what a process has said about new requests is one notice, kept for the process as the departure was.

TestRestIsThatOfTheProcess was written with the change and was not run against the code before.

--- a/feed/fleet_test.go
+++ b/feed/fleet_test.go
@@ -344,10 +344,10 @@
 	return last
 }
 
-// slowest writes a change of a key and returns how long it takes to reach all VMs for which counts returns true, limit if it
-// does not in that time.
-func (f *fleet) slowest(key string, limit time.Duration, counts func(*fleetVM) bool) time.Duration {
-	written, revision := time.Now(), f.source.write(key)
+// slowest changes the configuration and returns how long the change takes to reach all VMs for which counts returns true, limit if
+// it does not in that time.
+func (f *fleet) slowest(limit time.Duration, counts func(*fleetVM) bool) time.Duration {
+	written, revision := time.Now(), f.source.write("config")
 	for {
 		reached := true
 		for _, vm := range f.vms {
@@ -380,7 +380,7 @@
 					vm.cutOff.Store(true)
 				}
 				time.Sleep(time.Duration(random.Int64N(int64(3 * time.Second))))
-				took := f.slowest("config", 2*applyBound, func(vm *fleetVM) bool { return !vm.cutOff.Load() })
+				took := f.slowest(2*applyBound, func(vm *fleetVM) bool { return !vm.cutOff.Load() })
 				if worst = max(worst, took); took > applyBound {
 					late++
 				}
@@ -410,7 +410,7 @@
 			followers := f.followersOf(zone)
 			followers[0].down.Store(true)
 			time.Sleep(time.Duration(random.Int64N(int64(time.Second))))
-			took := f.slowest("config", 2*applyBound, func(vm *fleetVM) bool { return !vm.down.Load() })
+			took := f.slowest(2*applyBound, func(vm *fleetVM) bool { return !vm.down.Load() })
 			if worst = max(worst, took); took > applyBound {
 				late++
 			}
@@ -457,5 +457,5 @@
 		vm.down.Store(!survivors[vm])
 	}
 	time.Sleep(time.Duration(random.Int64N(int64(100 * time.Millisecond))))
-	return f.slowest("config", 2*bound, func(vm *fleetVM) bool { return survivors[vm] })
+	return f.slowest(2*bound, func(vm *fleetVM) bool { return survivors[vm] })
 }
--- a/feed/restart_test.go
+++ b/feed/restart_test.go
@@ -106,7 +106,7 @@
 			f.source.mu.Lock()
 			f.source.h.valueBytes = valueBytes
 			f.source.mu.Unlock()
-			require.LessOrEqual(t, f.slowest("config", 2*bound, func(*fleetVM) bool { return true }), bound)
+			require.LessOrEqual(t, f.slowest(2*bound, func(*fleetVM) bool { return true }), bound)
 		})
 	}
 }
--- a/forward/endpoints.go
+++ b/forward/endpoints.go
@@ -22,10 +22,8 @@
 	Tracker *dispatch.Tracker
 	// limit is the limit that the target states with its replies.
 	limit *targetLimit
-	// departure is what the target has said about leaving.
-	departure *dispatch.Departure
-	// rest is the time for which the target wants no requests from this VM.
-	rest *dispatch.Rest
+	// notice is what the target has said about new requests.
+	notice *notice
 	// limitSenders returns which VMs share that limit.
 	limitSenders func() dispatch.LimitSenders
 	// coldLimiter counts this VM's requests to the target while it is cold.
@@ -175,13 +173,13 @@
 	for _, list := range [][]*Endpoint{old.byService[e.Target.Service], old.standby[e.Target.Service]} {
 		for _, prev := range list {
 			if prev.Target.SameProcess(e.Target) {
-				e.Pool, e.Tracker, e.limit, e.departure, e.rest, e.coldLimiter = prev.Pool, prev.Tracker, prev.limit, prev.departure, prev.rest, prev.coldLimiter
+				e.Pool, e.Tracker, e.limit, e.notice, e.coldLimiter = prev.Pool, prev.Tracker, prev.limit, prev.notice, prev.coldLimiter
 				return
 			}
 		}
 	}
 	tracker := dispatch.NewTracker()
-	e.Tracker, e.limit, e.departure, e.rest, e.coldLimiter = tracker, new(targetLimit), s.departures.find(e.Target), new(dispatch.Rest), new(dispatch.ColdLimiter)
+	e.Tracker, e.limit, e.notice, e.coldLimiter = tracker, new(targetLimit), s.notices.find(e.Target), new(dispatch.ColdLimiter)
 	e.Pool = leafconn.NewPool(e.Target.ID, e.Target.Address, s.Protocol, s.Dialer, limit, &s.Connections, func(took time.Duration, err error) {
 		tracker.Dialed(time.Now(), took, err)
 	})
@@ -243,7 +241,7 @@
 	for _, list := range set.byService {
 		for _, e := range list {
 			e.Pool.CloseExpired(now)
-			if e.warm && e.departure.Stage(now) == dispatch.Staying {
+			if e.warm && e.notice.departure.Stage(now) == dispatch.Staying {
 				e.Pool.Warm(warmConnections)
 			}
 		}
@@ -254,7 +252,7 @@
 			e.Pool.Warm(standbyConnections)
 		}
 	}
-	s.departures.prune(now, set)
+	s.notices.prune(now, set)
 }
 
 // Connections that are opened ahead of requests.
--- a/forward/limits.go
+++ b/forward/limits.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -39,7 +38,7 @@
 	if viaRelay {
 		return !e.limit.relayFull(now)
 	}
-	if !e.rest.CanSend(now) {
+	if !e.notice.rest.CanSend(now) {
 		return false
 	}
 	spare := 0.0
@@ -51,24 +50,13 @@
 
 // take reports whether the limit and the rest that the target states allow a send now and, if so, counts it.
 func (e *Endpoint) take(now time.Time) bool {
-	return e.rest.CanSend(now) && e.limit.Take(now, e.share) && e.rest.Take(now)
+	return e.notice.rest.CanSend(now) && e.limit.Take(now, e.share) && e.notice.rest.Take(now)
 }
 
 // giveBack gives back a send that take counted and that was not sent.
 func (e *Endpoint) giveBack(now time.Time) {
 	e.limit.Return()
-	e.rest.Ended(now, false)
-}
-
-// observeRest records the end of a send, and the rest that its reply states.
-func (s *Service) observeRest(e *Endpoint, reply *leafconn.Reply, sent, now time.Time) {
-	e.rest.Ended(sent, reply != nil && reply.Disposition == leafconn.Ran)
-	if reply == nil || reply.RetryAfter <= 0 || reply.Disposition == leafconn.Misdirected || !e.rest.Stated(now, reply.RetryAfter, rand.Float64()) {
-		return
-	}
-	if s.TargetRests != nil {
-		s.TargetRests(e.Target, reply.RetryAfter)
-	}
+	e.notice.rest.Ended(now, false)
 }
 
 // explain returns the reason of a request that was not served, with the targets that wanted none.
@@ -76,7 +64,7 @@
 	resting, left := 0, 0
 	for i := range j.units {
 		for _, e := range j.set.byService[j.units[i].service] {
-			if e.rest.Remaining(now) > 0 {
+			if e.notice.rest.Remaining(now) > 0 {
 				resting++
 			}
 			if e.hasLeft(now) {
@@ -97,7 +85,7 @@
 	for i := range j.units {
 		wait := time.Duration(-1)
 		for _, e := range j.set.byService[j.units[i].service] {
-			if rest := e.rest.Remaining(now); j.allowed(e) && !e.hasLeft(now) && (wait < 0 || rest < wait) {
+			if rest := e.notice.rest.Remaining(now); j.allowed(e) && !e.hasLeft(now) && (wait < 0 || rest < wait) {
 				wait = rest
 			}
 		}
--- a/forward/departures_test.go
+++ b/forward/notices_test.go
@@ -66,21 +66,46 @@
 	l.SetBehaviour(leaving)
 	w.routes(single("s"))
 	w.serveUntilLeft("/s/1", l)
-	targets := w.snapshot.Targets["s"]
-	list := func(targets []*topology.Target) {
-		snapshot := *w.snapshot
-		snapshot.Targets = map[ident.ServiceID][]*topology.Target{"s": targets}
-		w.service.Update(&snapshot, w.fleet)
-		w.service.Maintain(time.Now())
-	}
-	list(nil)
-	list(targets)
-	w.requireStatus(http.StatusServiceUnavailable, 3, "/s/2")
+	w.listAnew("s", "/s/2")
+	w.restartTarget("s", l)
+	w.requireStatus(http.StatusOK, 3, "/s/3")
+}
+
+// Guards against a rest that is forgotten because the registry lists the process anew, or that outlives the process.
+func TestRestIsThatOfTheProcess(t *testing.T) {
+	w := newWorld(t, testExtra)
+	l := w.leaf("s", "a", []byte("x"))
+	l.SetBehaviour(turnsAway("60", 1000))
+	w.routes(single("s"))
+	w.requireStatus(http.StatusServiceUnavailable, 1, "/s/1")
+	w.listAnew("s", "/s/2")
+	require.Len(t, l.Arrivals(), 1)
+	w.restartTarget("s", l)
+	w.requireStatus(http.StatusOK, 3, "/s/3")
+}
+
+// list makes the targets of a service those that the registry lists.
+func (w *world) list(service ident.ServiceID, targets []*topology.Target) {
+	snapshot := *w.snapshot
+	snapshot.Targets = map[ident.ServiceID][]*topology.Target{service: targets}
+	w.service.Update(&snapshot, w.fleet)
+	w.service.Maintain(time.Now())
+}
+
+// listAnew takes the targets of a service from the registry and puts them back, and requires that they get no request.
+func (w *world) listAnew(service ident.ServiceID, path string) {
+	w.t.Helper()
+	w.list(service, nil)
+	w.list(service, w.snapshot.Targets[service])
+	w.requireStatus(http.StatusServiceUnavailable, 3, path)
+}
+
+// restartTarget replaces the only target of a service by a process that serves requests under the same ID and address.
+func (w *world) restartTarget(service ident.ServiceID, l *platformtest.Target) {
 	l.SetBehaviour(func(platformtest.Arrival) platformtest.Behaviour { return platformtest.Behaviour{} })
-	restarted := *targets[0]
+	restarted := *w.snapshot.Targets[service][0]
 	restarted.Started++
-	list([]*topology.Target{&restarted})
-	w.requireStatus(http.StatusOK, 3, "/s/3")
+	w.list(service, []*topology.Target{&restarted})
 }
 
 // Guards against requests that reach a leaving target through a VM of its zone, and against a VM that does not learn of the
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -294,7 +294,7 @@
 			continue
 		}
 		if !e.take(now) {
-			results <- relaySend{index: i, status: RelayNotSent, limit: e.limit.PerSecond(), rest: e.rest.Remaining(now)}
+			results <- relaySend{index: i, status: RelayNotSent, limit: e.limit.PerSecond(), rest: e.notice.rest.Remaining(now)}
 			continue
 		}
 		send := &leafconn.Send{Request: r.Request}
--- a/forward/service.go
+++ b/forward/service.go
@@ -81,7 +81,7 @@
 	endpoints  atomic.Pointer[endpointSet]
 	estimators sync.Map // routeKey to *dispatch.LatencyEstimator
 	budgets    sync.Map // ident.ServiceID to *dispatch.Budget
-	departures departures
+	notices    notices
 	running    atomic.Int64
 	requests   atomic.Uint64
 	unserved   atomic.Uint64
