crashguard: restarts forget no refusal

Cause: a refusal was told once, to the VMs that were up, and never asked for. A home VM that refused a fingerprint counted new reports of it from zero.

Evidence: nothing in the code asks peers for refusals; the case holds without restarts.

A crash of a refused request renews the refusal at its home VM, which tells all VMs again, and the one that reported at once. If all VMs are lost together, so are the refusals.

--- a/crashguard/coordinator.go
+++ b/crashguard/coordinator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -24,6 +25,8 @@
 	// without a reply.
 	reportRate, reportBurst   = 20, 40
 	refusalRate, refusalBurst = 2, 10
+	// maxMessageBytes is enough for a full table of refusals.
+	maxMessageBytes = 2 << 20
 )
 
 // Coordinator reports crashes to the home VMs of their fingerprints and, as a home VM, distributes refusals to all VMs.
@@ -35,6 +38,8 @@
 	logger   *log.Logger
 	reports  *rate.Limiter
 	refusals *rate.Limiter
+	// learned reports that Learn has ended.
+	learned atomic.Bool
 }
 
 // New returns a Coordinator that records crashes and refusals in the table.
@@ -74,11 +79,14 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	if _, err := c.client(home).Report(ctx, connect.NewRequest(msg)); err != nil {
+	resp, err := c.client(home).Report(ctx, connect.NewRequest(msg))
+	if err != nil {
 		// The home VM may be gone; the crashes seen by this VM still count towards a refusal here.
 		c.logger.Warn("crash_report", "home", home, "fingerprint", f, "err", err)
 		c.recordCrashes(f, targets)
+		return
 	}
+	c.table.Refuse(f, time.Duration(resp.Msg.GetRefusedMs())*time.Millisecond, time.Now())
 }
 
 // recordCrashes records crashes in this VM's table. If the fingerprint is refused from now on, the refusal is sent to
@@ -110,7 +118,7 @@
 }
 
 func (c *Coordinator) client(address string) peerv1connect.CrashServiceClient {
-	return peerv1connect.NewCrashServiceClient(c.http, "http://"+address)
+	return peerv1connect.NewCrashServiceClient(c.http, "http://"+address, connect.WithReadMaxBytes(maxMessageBytes))
 }
 
 // Server handles the calls of peers.
@@ -122,8 +130,19 @@
 	for i, id := range req.Msg.GetTargetIds() {
 		targets[i] = ident.TargetID(id)
 	}
-	s.Coordinator.recordCrashes(Fingerprint(req.Msg.GetFingerprint()), targets)
-	return connect.NewResponse(&peerv1.CrashReportResponse{}), nil
+	f := Fingerprint(req.Msg.GetFingerprint())
+	s.Coordinator.recordCrashes(f, targets)
+	refused := s.Coordinator.table.Refusals(time.Now())[f]
+	return connect.NewResponse(&peerv1.CrashReportResponse{RefusedMs: refused.Milliseconds()}), nil
+}
+
+// Refusals returns what this VM refuses.
+func (s Server) Refusals(context.Context, *connect.Request[peerv1.RefusalsRequest]) (*connect.Response[peerv1.RefusalsResponse], error) {
+	msg := &peerv1.RefusalsResponse{Learned: s.Coordinator.learned.Load()}
+	for f, remaining := range s.Coordinator.table.Refusals(time.Now()) {
+		msg.Fingerprints = append(msg.Fingerprints, &peerv1.QuarantinedFingerprint{Fingerprint: string(f), RemainingMs: remaining.Milliseconds()})
+	}
+	return connect.NewResponse(msg), nil
 }
 
 // Refuse applies refusals that a home VM distributes.
--- a/crashguard/table.go
+++ b/crashguard/table.go
@@ -17,7 +17,8 @@
 	// suspectFor is how long the crashes of a fingerprint count after its last crash. It is also how long a reply keeps
 	// the fingerprint free of suspicion.
 	suspectFor = 2 * time.Minute
-	// refuseFor is how long a request is refused.
+	// refuseFor is how long a request is refused after its last known crash. It ends at some time because a caller may send
+	// the same request once its targets no longer crash.
 	refuseFor = 10 * time.Minute
 	// maxEntries bounds the suspected and the refused fingerprints, each; the oldest are evicted first.
 	maxEntries = 4096
@@ -83,13 +84,18 @@
 }
 
 // Crashed records targets that failed while they had the request in flight, and reports whether the request is refused
-// from now on. It ignores a request to which a target replied recently, because such a request does not crash targets.
+// from now on. One that is refused already, which a VM has sent because it does not know, is refused anew for refuseFor. It
+// ignores a request to which a target replied recently, because such a request does not crash targets.
 func (t *Table) Crashed(f Fingerprint, targets []ident.TargetID, now time.Time) (refused bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.recentlyServed(f, now) {
 		return false
 	}
+	if now.Before(t.refused[f]) {
+		t.refused[f] = now.Add(refuseFor)
+		return true
+	}
 	s := t.suspects[f]
 	if s == nil || now.Sub(s.last) > suspectFor {
 		evictOldest(t.suspects, func(s *suspect) time.Time { return s.last })
@@ -108,15 +114,30 @@
 	return true
 }
 
+// Refusals returns the fingerprints that are refused at the time now, and for how much longer each.
+func (t *Table) Refusals(now time.Time) map[Fingerprint]time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	refusals := map[Fingerprint]time.Duration{}
+	for f, until := range t.refused {
+		if remaining := until.Sub(now); remaining > 0 {
+			refusals[f] = remaining
+		}
+	}
+	return refusals
+}
+
 // Refuse makes the table refuse a fingerprint for the remaining time, at most refuseFor, unless a target replied to
-// this VM recently.
+// this VM recently. It does not shorten a refusal.
 func (t *Table) Refuse(f Fingerprint, remaining time.Duration, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.recentlyServed(f, now) {
 		return
 	}
-	t.refuse(f, now.Add(min(remaining, refuseFor)))
+	if until := now.Add(min(remaining, refuseFor)); until.After(t.refused[f]) {
+		t.refuse(f, until)
+	}
 }
 
 func (t *Table) refuse(f Fingerprint, until time.Time) {
--- a/gen/teaselbank/peer/v1/peerv1connect/peer.connect.go
+++ b/gen/teaselbank/peer/v1/peerv1connect/peer.connect.go
@@ -76,6 +76,8 @@
 	CrashServiceReportProcedure = "/teaselbank.peer.v1.CrashService/Report"
 	// CrashServiceRefuseProcedure is the fully-qualified name of the CrashService's Refuse RPC.
 	CrashServiceRefuseProcedure = "/teaselbank.peer.v1.CrashService/Refuse"
+	// CrashServiceRefusalsProcedure is the fully-qualified name of the CrashService's Refusals RPC.
+	CrashServiceRefusalsProcedure = "/teaselbank.peer.v1.CrashService/Refusals"
 	// CoordinatorServiceAvailableProcedure is the fully-qualified name of the CoordinatorService's
 	// Available RPC.
 	CoordinatorServiceAvailableProcedure = "/teaselbank.peer.v1.CoordinatorService/Available"
@@ -653,6 +655,8 @@
 	Report(context.Context, *connect.Request[v1.CrashReport]) (*connect.Response[v1.CrashReportResponse], error)
 	// Refuse passes on fingerprints whose requests must no longer be sent to targets.
 	Refuse(context.Context, *connect.Request[v1.QuarantineRequest]) (*connect.Response[v1.QuarantineResponse], error)
+	// Refusals returns the fingerprints whose requests the called VM refuses.
+	Refusals(context.Context, *connect.Request[v1.RefusalsRequest]) (*connect.Response[v1.RefusalsResponse], error)
 }
 
 // NewCrashServiceClient constructs a client for the teaselbank.peer.v1.CrashService service. By
@@ -678,13 +682,20 @@
 			connect.WithSchema(crashServiceMethods.ByName("Refuse")),
 			connect.WithClientOptions(opts...),
 		),
+		refusals: connect.NewClient[v1.RefusalsRequest, v1.RefusalsResponse](
+			httpClient,
+			baseURL+CrashServiceRefusalsProcedure,
+			connect.WithSchema(crashServiceMethods.ByName("Refusals")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // crashServiceClient implements CrashServiceClient.
 type crashServiceClient struct {
-	report *connect.Client[v1.CrashReport, v1.CrashReportResponse]
-	refuse *connect.Client[v1.QuarantineRequest, v1.QuarantineResponse]
+	report   *connect.Client[v1.CrashReport, v1.CrashReportResponse]
+	refuse   *connect.Client[v1.QuarantineRequest, v1.QuarantineResponse]
+	refusals *connect.Client[v1.RefusalsRequest, v1.RefusalsResponse]
 }
 
 // Report calls teaselbank.peer.v1.CrashService.Report.
@@ -697,6 +708,11 @@
 	return c.refuse.CallUnary(ctx, req)
 }
 
+// Refusals calls teaselbank.peer.v1.CrashService.Refusals.
+func (c *crashServiceClient) Refusals(ctx context.Context, req *connect.Request[v1.RefusalsRequest]) (*connect.Response[v1.RefusalsResponse], error) {
+	return c.refusals.CallUnary(ctx, req)
+}
+
 // CrashServiceHandler is an implementation of the teaselbank.peer.v1.CrashService service.
 type CrashServiceHandler interface {
 	// Report reports to the VM responsible for a request fingerprint (its home) which targets failed while they had the
@@ -704,6 +720,8 @@
 	Report(context.Context, *connect.Request[v1.CrashReport]) (*connect.Response[v1.CrashReportResponse], error)
 	// Refuse passes on fingerprints whose requests must no longer be sent to targets.
 	Refuse(context.Context, *connect.Request[v1.QuarantineRequest]) (*connect.Response[v1.QuarantineResponse], error)
+	// Refusals returns the fingerprints whose requests the called VM refuses.
+	Refusals(context.Context, *connect.Request[v1.RefusalsRequest]) (*connect.Response[v1.RefusalsResponse], error)
 }
 
 // NewCrashServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -725,12 +743,20 @@
 		connect.WithSchema(crashServiceMethods.ByName("Refuse")),
 		connect.WithHandlerOptions(opts...),
 	)
+	crashServiceRefusalsHandler := connect.NewUnaryHandler(
+		CrashServiceRefusalsProcedure,
+		svc.Refusals,
+		connect.WithSchema(crashServiceMethods.ByName("Refusals")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/teaselbank.peer.v1.CrashService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case CrashServiceReportProcedure:
 			crashServiceReportHandler.ServeHTTP(w, r)
 		case CrashServiceRefuseProcedure:
 			crashServiceRefuseHandler.ServeHTTP(w, r)
+		case CrashServiceRefusalsProcedure:
+			crashServiceRefusalsHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -748,6 +774,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("teaselbank.peer.v1.CrashService.Refuse is not implemented"))
 }
 
+func (UnimplementedCrashServiceHandler) Refusals(context.Context, *connect.Request[v1.RefusalsRequest]) (*connect.Response[v1.RefusalsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("teaselbank.peer.v1.CrashService.Refusals is not implemented"))
+}
+
 // CoordinatorServiceClient is a client for the teaselbank.peer.v1.CoordinatorService service.
 type CoordinatorServiceClient interface {
 	// Available reports whether the called VM would run a search now. A VM calls it before Search, so that a search is not
--- a/plugin/crashguard/crashguard.go
+++ b/plugin/crashguard/crashguard.go
@@ -2,6 +2,9 @@
 package crashguard
 
 import (
+	"context"
+	"sync"
+
 	"github.com/charmbracelet/log"
 	"go.uber.org/fx"
 
@@ -9,6 +12,7 @@
 	"teaselbank.example/teaselbank/forward"
 	"teaselbank.example/teaselbank/gen/teaselbank/peer/v1/peerv1connect"
 	"teaselbank.example/teaselbank/kernel"
+	"teaselbank.example/teaselbank/lifecycle"
 	"teaselbank.example/teaselbank/membership"
 	"teaselbank.example/teaselbank/membership/wire"
 	"teaselbank.example/teaselbank/plugin/peerapi"
@@ -20,6 +24,8 @@
 			fx.Provide(crashguard.NewTable, newCoordinator),
 			fx.Provide(func(c *crashguard.Coordinator) forward.CrashGuard { return c }),
 			fx.Provide(fx.Annotate(newHandler, fx.ResultTags(peerapi.HandlerGroup))),
+			fx.Provide(fx.Annotate(func(c *crashguard.Coordinator) lifecycle.ReadyCheck { return c }, fx.ResultTags(lifecycle.ReadinessGroup))),
+			fx.Invoke(learn),
 		)
 	}})
 }
@@ -28,6 +34,23 @@
 	return crashguard.New(table, viewer, wire.NewHTTPClient(), logger.With("component", "crashguard"))
 }
 
+// learn takes over the refusals of peers as soon as this VM has started.
+func learn(lc fx.Lifecycle, c *crashguard.Coordinator) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			running.Go(func() { c.Learn(ctx) })
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			cancel()
+			running.Wait()
+			return nil
+		},
+	})
+}
+
 func newHandler(c *crashguard.Coordinator) peerapi.Handler {
 	path, h := peerv1connect.NewCrashServiceHandler(crashguard.Server{Coordinator: c})
 	return peerapi.Handler{Path: path, Handler: h}
