crashguard: VMs that start together do not all ask the same peers

At a start of 295 VMs each asked the three that had run longest, up to six times, so that three of them got 5,000 calls in 0.6 s (by arithmetic, not measured).

Change: the peers are drawn at random from those that started at least 5 s before, or from all if there are none, and are asked every 0.2 s: about ten calls for each VM.

--- a/crashguard/learn.go
+++ b/crashguard/learn.go
@@ -1,8 +1,8 @@
 package crashguard
 
 import (
-	"cmp"
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -15,10 +15,13 @@
 
 // Limits of Learn.
 const (
-	// learnFrom is how many peers are asked at a time, the oldest ones first.
+	// learnFrom is how many peers are asked at a time.
 	learnFrom = 3
 	// learnInterval is the pause between two attempts.
-	learnInterval = 100 * time.Millisecond
+	learnInterval = 200 * time.Millisecond
+	// startedTogether is the greatest time between the starts of two VMs that may have been lost together, as far as their
+	// clocks tell.
+	startedTogether = 5 * time.Second
 	// findPeersFor is how long a VM that has just started waits until it has found peers that have run for longer.
 	findPeersFor = 600 * time.Millisecond
 	// furtherReplies is how long the replies of the other peers are waited for after one has replied that has learned the
@@ -38,7 +41,7 @@
 	defer c.learned.Store(true)
 	began := time.Now()
 	for time.Since(began) < learnFor {
-		peers := c.oldestPeers()
+		peers := c.teachers()
 		if len(peers) == 0 && time.Since(began) >= findPeersFor {
 			return
 		}
@@ -56,16 +59,21 @@
 	c.logger.Warn("refusals_not_learned", "after", time.Since(began))
 }
 
-// oldestPeers returns the usable peers that have run longest, learnFrom at most.
-func (c *Coordinator) oldestPeers() []membership.Member {
+// teachers returns learnFrom usable peers at most, drawn from those that started well before this VM, or from all if there are
+// none. They are drawn at random so that the VMs of a fleet that starts together do not all ask the same ones.
+func (c *Coordinator) teachers() []membership.Member {
 	view := c.viewer.View()
 	if view == nil {
 		return nil
 	}
 	peers := slices.DeleteFunc(slices.Clone(view.UsableIn("")), func(m membership.Member) bool { return m.ID == view.Self.ID })
-	slices.SortFunc(peers, func(a, b membership.Member) int {
-		return cmp.Or(a.Incarnation.Started.Compare(b.Incarnation.Started), cmp.Compare(a.ID, b.ID))
+	older := slices.DeleteFunc(slices.Clone(peers), func(m membership.Member) bool {
+		return view.Self.Incarnation.Started.Sub(m.Incarnation.Started) < startedTogether
 	})
+	if len(older) > 0 {
+		peers = older
+	}
+	rand.Shuffle(len(peers), func(i, k int) { peers[i], peers[k] = peers[k], peers[i] })
 	return peers[:min(len(peers), learnFrom)]
 }
 
