soak: full services with late second refusals, and odd entries

Change: services are full for a while; their targets send some refusals again when the next request comes on the connection, and state at times for how long they want nothing. Odd entries appear among those of the targets.

--- a/soak/backends.go
+++ b/soak/backends.go
@@ -1,9 +1,13 @@
 package soak
 
 import (
+	"bufio"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
+	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -22,6 +26,15 @@
 	slowServiceTime     = 250 * time.Millisecond
 	minReplacementDelay = 500 * time.Millisecond
 	recordsPerShard     = 8
+	// repeatedRefusals is the share of the refusals of a full target that it sends a second time, once the next request comes on
+	// the same connection or repeatWait has passed.
+	repeatedRefusals = 0.3
+	repeatWait       = 300 * time.Millisecond
+	// fullShare is the share of the requests that a full target refuses. With restingRefusals of these refusals it states for
+	// how long it wants none, up to maxRest.
+	fullShare       = 0.7
+	restingRefusals = 0.1
+	maxRest         = 300 * time.Millisecond
 )
 
 // target is a running target behind a proxy that can impair its link.
@@ -40,6 +53,18 @@
 	live   []*target
 	lastID int
 	random *rand.Rand
+	// full holds the services whose targets are full.
+	full map[string]bool
+}
+
+// setFull sets whether the targets of a service are full.
+func (b *targetSet) setFull(service string, full bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.full == nil {
+		b.full = map[string]bool{}
+	}
+	b.full[service] = full
 }
 
 // shardBody returns the body of a successful reply of every target of the service. Each service has records of its own.
@@ -100,7 +125,11 @@
 	}
 	b.mu.Lock()
 	roll, scale := b.random.Float64(), b.random.Float64()
+	full := b.full[t.service]
 	b.mu.Unlock()
+	if full && roll < fullShare {
+		return b.refuseFull(t, roll/fullShare, scale)
+	}
 	serviceTime := time.Duration(scale * 2 * float64(meanServiceTime))
 	if roll < refusedShare {
 		return platformtest.Behaviour{Status: 503, NotRun: true}
@@ -124,6 +153,35 @@
 	return platformtest.Behaviour{ServiceTime: serviceTime}
 }
 
+// refuseFull returns how a full target refuses a request; kind and scale are random.
+func (b *targetSet) refuseFull(t *target, kind, scale float64) platformtest.Behaviour {
+	switch {
+	case kind < repeatedRefusals:
+		return platformtest.Behaviour{Raw: func(c net.Conn, a platformtest.Arrival) { b.refuseTwice(c, t, a) }}
+	case kind < repeatedRefusals+restingRefusals:
+		seconds := strconv.FormatFloat(scale*maxRest.Seconds(), 'f', 3, 64)
+		return platformtest.Behaviour{Status: 503, NotRun: true, Header: http.Header{platformtest.HeaderRetryAfter: {seconds}}}
+	}
+	return platformtest.Behaviour{Status: 503, NotRun: true}
+}
+
+// refuseTwice refuses a request. It sends the refusal again when the next request comes on the connection, and runs that
+// request.
+func (b *targetSet) refuseTwice(c net.Conn, t *target, a platformtest.Arrival) {
+	refusal := platformtest.RawRefusal(a.ID)
+	_, _ = io.WriteString(c, refusal)
+	_ = c.SetReadDeadline(time.Now().Add(repeatWait))
+	next, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	route, _, _ := strings.Cut(strings.TrimPrefix(next.RequestURI, "/"), "/")
+	seen := &arrival{ID: next.Header.Get(platformtest.HeaderID), TargetID: t.server.ID, Service: t.service, Zone: t.zone, Route: route, At: time.Now()}
+	seen.Ran = next.Header.Get(platformtest.HeaderExpect) == t.server.ID
+	b.record.addArrival(seen)
+	_, _ = io.WriteString(c, refusal)
+}
+
 // answerTwice sends a successful reply twice, so that the copy arrives where the reply to the next request is expected.
 func (b *targetSet) answerTwice(c net.Conn, t *target, a platformtest.Arrival) {
 	body := shardBody(t.service)
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -1,9 +1,11 @@
 package soak
 
 import (
+	"bytes"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -45,30 +47,47 @@
 	{"target_clock", 1, (*harness).skewTargetClock},
 }
 
+// backendFaults come in a sequence of their own, so that a seed has the same sequence of faultKinds as before they were added.
+var backendFaults = []fault{
+	{"service_full", 3, (*harness).fillService},
+	{"odd_entry", 1, (*harness).publishOddEntry},
+}
+
+// meanBackendFaultInterval is the mean time between the starts of two backendFaults.
+const meanBackendFaultInterval = 1500 * time.Millisecond
+
 // injectFaults starts faults for Options.FaultDuration and returns when the last one has ended.
 func (h *harness) injectFaults() {
-	random := rand.New(rand.NewPCG(uint64(h.Seed), 2))
+	var sequences sync.WaitGroup
+	sequences.Go(func() { h.injectSequence(backendFaults, 4, meanBackendFaultInterval) })
+	h.injectSequence(faultKinds, 2, meanFaultInterval)
+	sequences.Wait()
+	h.activeFaults.Wait()
+}
+
+// injectSequence starts faults of some kinds for Options.FaultDuration. stream selects the random sequence of the seed.
+func (h *harness) injectSequence(kinds []fault, stream uint64, meanInterval time.Duration) {
+	random := rand.New(rand.NewPCG(uint64(h.Seed), stream))
 	total := 0
-	for _, f := range faultKinds {
+	for _, f := range kinds {
 		total += f.weight
 	}
 	for end := time.Now().Add(h.FaultDuration); time.Now().Before(end); {
-		f := pickFault(random.IntN(total))
-		faultRandom := rand.New(rand.NewPCG(random.Uint64(), 3))
+		f := pickFault(kinds, random.IntN(total))
+		faultRandom := rand.New(rand.NewPCG(random.Uint64(), stream+1))
 		h.activeFaults.Go(func() { f.inject(h, faultRandom) })
-		time.Sleep(time.Duration(random.ExpFloat64() * float64(meanFaultInterval)))
+		time.Sleep(time.Duration(random.ExpFloat64() * float64(meanInterval)))
 	}
-	h.activeFaults.Wait()
 }
 
 // pickFault returns the fault kind for a roll below the sum of all weights.
-func pickFault(roll int) fault {
-	for _, f := range faultKinds {
+func pickFault(kinds []fault, roll int) fault {
+	for _, f := range kinds {
 		if roll -= f.weight; roll < 0 {
 			return f
 		}
 	}
-	return faultKinds[0]
+	return kinds[0]
 }
 
 // randomDuration returns a duration in [0, limit).
@@ -296,3 +315,43 @@
 	h.record.addEvent(-1, fmt.Sprintf("target_clock %s skew=%s", t.server.ID, skew.Round(time.Millisecond)))
 	h.targets.publish(t, false, time.Now().Add(skew).UnixMilli())
 }
+
+// fillService makes the targets of a service refuse most requests for a while, some of them with a late second refusal or with a
+// time for which they want none.
+func (h *harness) fillService(random *rand.Rand) {
+	t := h.targets.pick(random, false)
+	if t == nil {
+		return
+	}
+	h.record.addEvent(-1, "service_full "+t.service)
+	h.targets.setFull(t.service, true)
+	h.sleepFaultDuration(random)
+	h.targets.setFull(t.service, false)
+	h.record.addEvent(-1, "service_full ends "+t.service)
+}
+
+// publishOddEntry publishes an entry that names no target, at the address of one, and removes it after a while.
+func (h *harness) publishOddEntry(random *rand.Rand) {
+	t := h.targets.pick(random, false)
+	if t == nil {
+		return
+	}
+	entry := func(address, slots string) []byte {
+		return fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":%q,"version":"v1","max_concurrency":%s,"state":"ready","cold_left_ms":0,"sequence":1}`,
+			t.service, address, t.zone, slots)
+	}
+	odd := [][]byte{bytes.Repeat([]byte(`{"a":[`), 50_000), entry(t.link.Address, "1e400"), entry(t.link.Address, "9223372036854775807"),
+		entry("127.0.0.1:65536", "4"), entry("127.0.0.1:0", "4")}
+	id, kind := "odd", random.IntN(len(odd)+1)
+	value := entry(t.link.Address, "4")
+	if kind < len(odd) {
+		value = odd[kind]
+	} else {
+		id = "odd\r\nX-Odd: 1"
+	}
+	h.record.addEvent(-1, fmt.Sprintf("odd_entry kind=%d", kind))
+	h.store.RegisterBytes(id, value)
+	h.sleepFaultDuration(random)
+	h.store.Deregister(id)
+	h.record.addEvent(-1, "odd_entry ends")
+}
