--- a/soak/faults.go
+++ b/soak/faults.go
@@ -8,6 +8,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"teaselbank.example/teaselbank/platform/platformtest"
 )
 
 // meanFaultInterval is the mean time between the starts of two faults. A fault lasts up to several seconds, so faults
@@ -337,8 +339,7 @@
 		return
 	}
 	entry := func(address, slots string) []byte {
-		return fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":%q,"version":"v1","max_concurrency":%s,"state":"ready","cold_left_ms":0,"sequence":1}`,
-			t.service, address, t.zone, slots)
+		return platformtest.RawEntry(t.service, t.zone, address, slots)
 	}
 	odd := [][]byte{bytes.Repeat([]byte(`{"a":[`), 50_000), entry(t.link.Address, "1e400"), entry(t.link.Address, "9223372036854775807"),
 		entry("127.0.0.1:65536", "4"), entry("127.0.0.1:0", "4")}
