crashguard: a loss of all VMs does not delay their return by 0.6 s

Cause: VMs that had started together waited for a peer that had learned the refusals of others, which none had.

Change: if all known peers have started within 5 s of this VM, the first that replies will do. A VM that finds older peers still waits for one of them.

--- a/crashguard/learn.go
+++ b/crashguard/learn.go
@@ -18,11 +18,11 @@
 	// learnFrom is how many peers are asked at a time.
 	learnFrom = 3
 	// learnInterval is the pause between two attempts.
-	learnInterval = 200 * time.Millisecond
+	learnInterval = 50 * time.Millisecond
 	// startedTogether is the greatest time between the starts of two VMs that may have been lost together, as far as their
 	// clocks tell.
 	startedTogether = 5 * time.Second
-	// findPeersFor is how long a VM that has just started waits until it has found peers that have run for longer.
+	// findPeersFor is how long a VM that has just started waits until it has found peers.
 	findPeersFor = 600 * time.Millisecond
 	// furtherReplies is how long the replies of the other peers are waited for after one has replied that has learned the
 	// refusals of others.
@@ -36,17 +36,18 @@
 func (c *Coordinator) Ready() bool { return c.learned.Load() }
 
 // Learn takes over the refusals of peers, for a VM that has just started. It ends when a peer has returned those that it has
-// learned itself, when all peers that reply have started as recently as this VM, when there are no peers, or after learnFor.
+// learned itself, when a peer has replied and all known ones have started as recently as this VM, when no peer is found, or
+// after learnFor. After a loss of all VMs it must not delay their return.
 func (c *Coordinator) Learn(ctx context.Context) {
 	defer c.learned.Store(true)
 	began := time.Now()
 	for time.Since(began) < learnFor {
-		peers := c.teachers()
+		peers, older := c.teachers()
 		if len(peers) == 0 && time.Since(began) >= findPeersFor {
 			return
 		}
 		replied, learned := c.askAll(ctx, peers)
-		if learned > 0 || replied > 0 && time.Since(began) >= findPeersFor {
+		if learned > 0 || replied > 0 && !older {
 			c.logger.Info("refusals_learned", "peers", replied, "learned", learned, "refusals", len(c.table.Refusals(time.Now())))
 			return
 		}
@@ -60,21 +61,21 @@
 }
 
 // teachers returns learnFrom usable peers at most, drawn from those that started well before this VM, or from all if there are
-// none. They are drawn at random so that the VMs of a fleet that starts together do not all ask the same ones.
-func (c *Coordinator) teachers() []membership.Member {
+// none; older reports that there are some. They are drawn at random so that the VMs of a fleet that starts together do not all ask the same ones.
+func (c *Coordinator) teachers() (teachers []membership.Member, older bool) {
 	view := c.viewer.View()
 	if view == nil {
-		return nil
+		return nil, false
 	}
 	peers := slices.DeleteFunc(slices.Clone(view.UsableIn("")), func(m membership.Member) bool { return m.ID == view.Self.ID })
-	older := slices.DeleteFunc(slices.Clone(peers), func(m membership.Member) bool {
+	before := slices.DeleteFunc(slices.Clone(peers), func(m membership.Member) bool {
 		return view.Self.Incarnation.Started.Sub(m.Incarnation.Started) < startedTogether
 	})
-	if len(older) > 0 {
-		peers = older
+	if older = len(before) > 0; older {
+		peers = before
 	}
 	rand.Shuffle(len(peers), func(i, k int) { peers[i], peers[k] = peers[k], peers[i] })
-	return peers[:min(len(peers), learnFrom)]
+	return peers[:min(len(peers), learnFrom)], older
 }
 
 // askAll takes over the refusals of peers, and returns how many of them replied and how many of these have learned the refusals
