--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -12,6 +12,8 @@
 
 // regressionSeeds are seeds that failed before, with the fault each of them found; TestSoak runs them all.
 var regressionSeeds = map[int64]string{
+	// 2 and 12 failed for the same reason as 22.
+	22:  "requests that ran were refused with 503: a late copy of a refusal was taken for the reply to a resend",
 	226: "a VM stayed down: the second SIGTERM of a stop reached its next process, which nothing started again",
 	// 110 and 119 failed for the same reason as 106.
 	106: "a response was reported as MIXED: a leaf request refused at a reused address was taken for the target's reply",
